--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Not implemented yet.
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,41 @@
+//! Shared types of heatherhollow: identifiers, terms and log positions, term history, outcomes with
+//! their reasons, and virtual time.
+//!
+//! Everything here is plain data. The other crates of the workspace exchange these types at their
+//! borders, so that decision logic needs no I/O crate.
+
+mod ids;
+mod outcome;
+mod position;
+mod statement;
+mod time;
+
+pub use ids::CandidateId;
+pub use ids::DataCentre;
+pub use ids::GroupName;
+pub use ids::IdError;
+pub use ids::Incarnation;
+pub use ids::InstanceName;
+pub use ids::KindName;
+pub use ids::PermitNumber;
+pub use ids::RegionName;
+pub use ids::RequestId;
+pub use ids::ServiceName;
+pub use ids::TargetIndex;
+pub use ids::TargetName;
+pub use ids::TeamName;
+pub use ids::TransactionId;
+pub use outcome::FailureReason;
+pub use outcome::RefusalReason;
+pub use outcome::RequestOutcome;
+pub use outcome::RetryReason;
+pub use outcome::UnknownReason;
+pub use position::GroupPosition;
+pub use position::LogPosition;
+pub use position::TermHistory;
+pub use position::TermNumber;
+pub use position::TermStart;
+pub use statement::AckMode;
+pub use statement::CallKind;
+pub use statement::ReadKind;
+pub use time::MonoTime;
