--- /dev/null
+++ b/crates/limits/src/queue.rs
@@ -0,0 +1,381 @@
+//! Admission queue of a target.
+//!
+//! Order: statements and commits of open transactions go first, since they hold a connection and
+//! locks and their number is bounded. Everything else is shared fairly between teams by weight; a
+//! team's own writes go before its reads. A class order above the teams would let the writes of one
+//! team take the share of another team's reads.
+//!
+//! The queue is bounded by time: an entry that would be started after its deadline is refused when it
+//! arrives, and one that has waited too long is refused without being started.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use heatherhollow_types::CallKind;
+use heatherhollow_types::MonoTime;
+use heatherhollow_types::RefusalReason;
+use heatherhollow_types::TeamName;
+
+/// Share of the smoothed service time that one new sample replaces.
+const SERVICE_TIME_GAIN: f64 = 0.1;
+
+/// Shortest and longest time to come back that a refusal names.
+const RETRY_AFTER_RANGE: (Duration, Duration) =
+    (Duration::from_millis(50), Duration::from_secs(10));
+
+/// Number of a waiting request, unique in its queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TicketNumber(pub u64);
+
+/// Weight of a team's share; 1 is the default.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TeamWeight {
+    /// The team.
+    pub team: TeamName,
+    /// Its weight relative to those of other teams; above zero.
+    pub weight: f64,
+}
+
+/// Settings of an [`AdmissionQueue`].
+#[derive(Debug, Clone, PartialEq)]
+pub struct QueueSettings {
+    /// Greatest number of waiting requests.
+    pub max_length: usize,
+    /// Longest wait while the queue does not drain.
+    pub standing_wait: Duration,
+    /// Time after which a queue that was never empty counts as one that does not drain.
+    pub standing_after: Duration,
+    /// Part of the time to the deadline that a request may wait while the queue drains.
+    pub wait_fraction: f64,
+    /// Requests that the target works on at once.
+    pub parallelism: usize,
+    /// Weights of teams that differ from 1, sorted by team.
+    pub weights: Vec<TeamWeight>,
+}
+
+impl Default for QueueSettings {
+    fn default() -> Self {
+        Self {
+            max_length: 1_024,
+            standing_wait: Duration::from_millis(200),
+            standing_after: Duration::from_millis(100),
+            wait_fraction: 0.5,
+            parallelism: 3,
+            weights: Vec::new(),
+        }
+    }
+}
+
+/// A waiting request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QueueEntry {
+    /// Its number.
+    pub ticket: TicketNumber,
+    /// Team that sent it.
+    pub team: TeamName,
+    /// Its class.
+    pub kind: CallKind,
+    /// When it arrived.
+    pub arrived: MonoTime,
+    /// When its caller stops waiting.
+    pub deadline: MonoTime,
+}
+
+/// Refusal of a request that did not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QueueRefusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// When the caller may come back.
+    pub retry_after: Duration,
+}
+
+/// Entries of one team, and the service that it has received.
+#[derive(Debug, Clone)]
+struct TeamLine {
+    team: TeamName,
+    /// Service received divided by weight; the team with the least goes next.
+    virtual_time: f64,
+    writes: VecDeque<QueueEntry>,
+    reads: VecDeque<QueueEntry>,
+}
+
+impl TeamLine {
+    fn is_empty(&self) -> bool {
+        self.writes.is_empty() && self.reads.is_empty()
+    }
+
+    fn pop(&mut self) -> Option<QueueEntry> {
+        self.writes.pop_front().or_else(|| self.reads.pop_front())
+    }
+}
+
+/// Requests that wait for a connection to one target.
+///
+/// ```
+/// use std::time::Duration;
+/// use heatherhollow_limits::{AdmissionQueue, QueueEntry, QueueSettings, TicketNumber};
+/// use heatherhollow_types::{CallKind, MonoTime};
+/// let mut queue = AdmissionQueue::new(QueueSettings::default());
+/// let now = MonoTime::ZERO;
+/// let entry = QueueEntry {
+///     ticket: TicketNumber(1),
+///     team: "lidos".parse().unwrap(),
+///     kind: CallKind::Write,
+///     arrived: now,
+///     deadline: now + Duration::from_secs(1),
+/// };
+/// queue.offer(entry, 0, now).unwrap();
+/// assert_eq!(queue.next(now).unwrap().ticket, TicketNumber(1));
+/// ```
+#[derive(Debug, Clone)]
+pub struct AdmissionQueue {
+    settings: QueueSettings,
+    transactions: VecDeque<QueueEntry>,
+    /// Sorted by team. A team without entries stays while its virtual time is ahead.
+    lines: Vec<TeamLine>,
+    virtual_now: f64,
+    length: usize,
+    service_time: Duration,
+    nonempty_since: Option<MonoTime>,
+}
+
+impl AdmissionQueue {
+    /// An empty queue.
+    pub fn new(settings: QueueSettings) -> Self {
+        Self {
+            settings,
+            transactions: VecDeque::new(),
+            lines: Vec::new(),
+            virtual_now: 0.0,
+            length: 0,
+            service_time: Duration::from_millis(2),
+            nonempty_since: None,
+        }
+    }
+
+    /// Number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    /// Smoothed time that the target takes for a request.
+    pub fn service_time(&self) -> Duration {
+        self.service_time
+    }
+
+    /// Records how long a request occupied its connection.
+    pub fn record_service(&mut self, took: Duration) {
+        let smoothed = self.service_time.mul_f64(1.0 - SERVICE_TIME_GAIN);
+        self.service_time = smoothed + took.mul_f64(SERVICE_TIME_GAIN);
+    }
+
+    /// Wait that a new request of `kind` and `team` would have, with `in_flight` requests running.
+    pub fn expected_wait(&self, kind: CallKind, team: &TeamName, in_flight: usize) -> Duration {
+        let ahead = self.entries_ahead(kind, team);
+        let busy = (in_flight + 1).saturating_sub(self.settings.parallelism) as f64;
+        let rounds = (ahead + busy) / self.settings.parallelism.max(1) as f64;
+        self.service_time.mul_f64(rounds)
+    }
+
+    /// Entries that are served before a new one, given the team's share.
+    fn entries_ahead(&self, kind: CallKind, team: &TeamName) -> f64 {
+        let transactions = self.transactions.len() as f64;
+        if kind == CallKind::Transaction {
+            return transactions;
+        }
+        let own = match self.find_line(team) {
+            Ok(i) if kind == CallKind::Write => self.lines[i].writes.len(),
+            Ok(i) => self.lines[i].writes.len() + self.lines[i].reads.len(),
+            Err(_) => 0,
+        } as f64;
+        let own_weight = self.weight_of(team);
+        let others = self
+            .lines
+            .iter()
+            .filter(|line| line.team != *team)
+            .map(|line| {
+                let share = (own + 1.0) * self.weight_of(&line.team) / own_weight;
+                share.min((line.writes.len() + line.reads.len()) as f64)
+            })
+            .sum::<f64>();
+        transactions + own + others
+    }
+
+    /// Takes a request into the queue, or refuses it at once.
+    pub fn offer(
+        &mut self,
+        entry: QueueEntry,
+        in_flight: usize,
+        now: MonoTime,
+    ) -> Result<(), QueueRefusal> {
+        if entry.deadline <= now {
+            return Err(self.refuse(RefusalReason::DeadlinePassed));
+        }
+        if self.length >= self.settings.max_length {
+            return Err(self.refuse(RefusalReason::QueueFull));
+        }
+        let wait = self.expected_wait(entry.kind, &entry.team, in_flight);
+        if now + wait >= entry.deadline {
+            return Err(self.refuse(RefusalReason::Overloaded));
+        }
+        if self.length == 0 {
+            self.nonempty_since = Some(now);
+        }
+        self.length += 1;
+        self.push(entry);
+        Ok(())
+    }
+
+    fn push(&mut self, entry: QueueEntry) {
+        if entry.kind == CallKind::Transaction {
+            self.transactions.push_back(entry);
+            return;
+        }
+        let i = match self.find_line(&entry.team) {
+            Ok(i) => i,
+            Err(i) => {
+                let line = TeamLine {
+                    team: entry.team.clone(),
+                    virtual_time: self.virtual_now,
+                    writes: VecDeque::new(),
+                    reads: VecDeque::new(),
+                };
+                self.lines.insert(i, line);
+                i
+            }
+        };
+        let line = &mut self.lines[i];
+        if line.is_empty() {
+            // An idle team saves up no service.
+            line.virtual_time = line.virtual_time.max(self.virtual_now);
+        }
+        match entry.kind {
+            CallKind::Read => line.reads.push_back(entry),
+            CallKind::Write | CallKind::Transaction => line.writes.push_back(entry),
+        }
+    }
+
+    /// The request to start next; those that have waited too long are left to [`Self::expire`].
+    pub fn next(&mut self, now: MonoTime) -> Option<QueueEntry> {
+        let entry = self.pop()?;
+        self.length -= 1;
+        if self.length == 0 {
+            self.nonempty_since = None;
+            self.lines
+                .retain(|line| line.virtual_time > self.virtual_now);
+        }
+        debug_assert!(entry.arrived <= now);
+        Some(entry)
+    }
+
+    fn pop(&mut self) -> Option<QueueEntry> {
+        if let Some(entry) = self.transactions.pop_front() {
+            return Some(entry);
+        }
+        let i = (0..self.lines.len())
+            .filter(|&i| !self.lines[i].is_empty())
+            .min_by(|&a, &b| {
+                self.lines[a]
+                    .virtual_time
+                    .total_cmp(&self.lines[b].virtual_time)
+            })?;
+        let weight = self.weight_of(&self.lines[i].team);
+        let line = &mut self.lines[i];
+        self.virtual_now = line.virtual_time;
+        line.virtual_time += 1.0 / weight;
+        line.pop()
+    }
+
+    /// Removes the requests that must not be started any more.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<(TicketNumber, QueueRefusal)> {
+        let longest = self.longest_wait(now);
+        let wait_fraction = self.settings.wait_fraction;
+        let mut expired = Vec::new();
+        let mut keep = |entry: &QueueEntry| {
+            let reason = expiry_reason(entry, longest, wait_fraction, now);
+            expired.extend(reason.map(|reason| (entry.ticket, reason)));
+            reason.is_none()
+        };
+        self.transactions.retain(&mut keep);
+        for line in &mut self.lines {
+            line.writes.retain(&mut keep);
+            line.reads.retain(&mut keep);
+        }
+        self.length -= expired.len();
+        if self.length == 0 {
+            self.nonempty_since = None;
+        }
+        expired
+            .into_iter()
+            .map(|(ticket, reason)| (ticket, self.refuse(reason)))
+            .collect()
+    }
+
+    /// Removes a request whose caller has left.
+    pub fn cancel(&mut self, ticket: TicketNumber) {
+        let mut removed = 0;
+        let mut keep = |entry: &QueueEntry| {
+            let is_kept = entry.ticket != ticket;
+            removed += usize::from(!is_kept);
+            is_kept
+        };
+        self.transactions.retain(&mut keep);
+        for line in &mut self.lines {
+            line.writes.retain(&mut keep);
+            line.reads.retain(&mut keep);
+        }
+        self.length -= removed;
+        if self.length == 0 {
+            self.nonempty_since = None;
+        }
+    }
+
+    /// The bound on waiting, or `None` while the queue drains and only deadlines bound it.
+    fn longest_wait(&self, now: MonoTime) -> Option<Duration> {
+        let since = self.nonempty_since?;
+        let is_standing = now.since(since) >= self.settings.standing_after;
+        is_standing.then_some(self.settings.standing_wait)
+    }
+
+    fn refuse(&self, reason: RefusalReason) -> QueueRefusal {
+        let rounds = self.length as f64 / self.settings.parallelism.max(1) as f64;
+        let (shortest, longest) = RETRY_AFTER_RANGE;
+        let retry_after = self.service_time.mul_f64(rounds).clamp(shortest, longest);
+        QueueRefusal {
+            reason,
+            retry_after,
+        }
+    }
+
+    fn find_line(&self, team: &TeamName) -> Result<usize, usize> {
+        self.lines.binary_search_by(|line| line.team.cmp(team))
+    }
+
+    fn weight_of(&self, team: &TeamName) -> f64 {
+        let weights = &self.settings.weights;
+        match weights.binary_search_by(|weight| weight.team.cmp(team)) {
+            Ok(i) => weights[i].weight.max(0.01),
+            Err(_) => 1.0,
+        }
+    }
+}
+
+fn expiry_reason(
+    entry: &QueueEntry,
+    longest: Option<Duration>,
+    wait_fraction: f64,
+    now: MonoTime,
+) -> Option<RefusalReason> {
+    if entry.deadline <= now {
+        return Some(RefusalReason::DeadlinePassed);
+    }
+    let own_limit = entry.deadline.since(entry.arrived).mul_f64(wait_fraction);
+    let limit = longest.map_or(own_limit, |longest| longest.min(own_limit));
+    (now.since(entry.arrived) > limit).then_some(RefusalReason::QueueTimeout)
+}
