--- /dev/null
+++ b/crates/failover/src/confirm.rs
@@ -0,0 +1,333 @@
+//! Confirmation of writes after the primary has answered.
+//!
+//! A promotion needs a majority of the group's targets that have promised its term, and any two
+//! majorities share a target. If a majority, the primary included, held a write before they promised a
+//! higher term, every later promotion sees the write in one of its fence replies and chooses a log that
+//! holds it. Evidence of that kind stays valid: a target that held the write before its promise showed
+//! it to whoever fenced it. A [`WriteConfirmer`] therefore keeps, for each target, the best report of
+//! each promised term.
+//!
+//! A write that was found by request id at a primary of a later term needs more: its position alone on
+//! a majority does not protect it, because a target with a record of a term in between may win a later
+//! promotion without holding the write. It counts as held only by logs that go on into the term of the
+//! primary that answered.
+
+use std::time::Duration;
+
+use heatherhollow_types::AckMode;
+use heatherhollow_types::GroupPosition;
+use heatherhollow_types::MonoTime;
+use heatherhollow_types::TargetIndex;
+use heatherhollow_types::TermHistory;
+use heatherhollow_types::TermNumber;
+
+use crate::report::TargetReport;
+use crate::report::holds_position;
+use crate::report::majority_of;
+
+/// Promised terms per target for which evidence is kept; writes of older terms are long over.
+const MAX_KEPT_TERMS: usize = 4;
+
+/// Number of samples of the primary's position that are kept.
+const MAX_SAMPLES: usize = 48;
+
+/// Settings of a [`WriteConfirmer`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfirmSettings {
+    /// Lag from which a replica does not count as within reach of new writes.
+    pub confirm_lag_limit: Duration,
+}
+
+impl Default for ConfirmSettings {
+    fn default() -> Self {
+        Self {
+            confirm_lag_limit: Duration::from_secs(2),
+        }
+    }
+}
+
+/// A write that the primary has answered and that is not acknowledged yet.
+///
+/// With [`AckMode::Primary`] it also describes a read at the primary that must show the present state:
+/// the same check tells that the primary had not been replaced when it answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PendingWrite {
+    /// Position of the write.
+    pub position: GroupPosition,
+    /// Term of the primary that answered; above that of the position if the answer was read from the
+    /// record of a write of an earlier term.
+    pub term: TermNumber,
+    /// Target that answered as primary.
+    pub primary: TargetIndex,
+    /// When the answer was received.
+    pub answered_at: MonoTime,
+    /// When the write is acknowledged.
+    pub mode: AckMode,
+}
+
+impl PendingWrite {
+    /// A write that ran in the term of its position.
+    pub fn new(
+        position: GroupPosition,
+        primary: TargetIndex,
+        answered_at: MonoTime,
+        mode: AckMode,
+    ) -> Self {
+        Self {
+            position,
+            term: position.term,
+            primary,
+            answered_at,
+            mode,
+        }
+    }
+}
+
+/// What is known of a pending write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Confirmation {
+    /// It may be acknowledged, if no primary of a higher term is known.
+    Confirmed,
+    /// More reports are needed.
+    Waiting,
+    /// It cannot be confirmed in its term any more; the new primary knows whether it took effect.
+    Refuted,
+}
+
+#[derive(Debug, Clone)]
+struct TermEvidence {
+    promised: TermNumber,
+    last_asked_at: MonoTime,
+    end: GroupPosition,
+    history: TermHistory,
+}
+
+#[derive(Debug, Clone, Default)]
+struct TargetEvidence {
+    /// Sorted by promised term.
+    terms: Vec<TermEvidence>,
+    latest_asked_at: Option<MonoTime>,
+    is_primary: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct PrimarySample {
+    asked_at: MonoTime,
+    position: GroupPosition,
+}
+
+/// Collects the reports of one group's targets and confirms writes with them.
+///
+/// Targets are numbered from 0 to the number of declared targets. If the declared list changes, a new
+/// confirmer is needed.
+///
+/// ```
+/// use heatherhollow_failover::{ConfirmSettings, Confirmation, PendingWrite, TargetReport, WriteConfirmer};
+/// use heatherhollow_types::{AckMode, GroupPosition, MonoTime, TargetIndex, TermNumber};
+/// let mut confirmer = WriteConfirmer::new(ConfirmSettings::default(), 3);
+/// let position = GroupPosition::new(1, 7);
+/// let answered_at = MonoTime::from_millis(5);
+/// let write = PendingWrite::new(position, TargetIndex(0), answered_at, AckMode::Replicated);
+/// assert_eq!(confirmer.check(&write), Confirmation::Waiting);
+/// let report = TargetReport { promised: TermNumber(1), end: position, ..Default::default() };
+/// confirmer.observe(TargetIndex(2), MonoTime::from_millis(6), &report);
+/// assert_eq!(confirmer.check(&write), Confirmation::Confirmed);
+/// ```
+#[derive(Debug, Clone)]
+pub struct WriteConfirmer {
+    settings: ConfirmSettings,
+    targets: Vec<TargetEvidence>,
+    sample_term: TermNumber,
+    /// Oldest first.
+    samples: Vec<PrimarySample>,
+}
+
+impl WriteConfirmer {
+    /// A confirmer for a group with so many declared targets.
+    pub fn new(settings: ConfirmSettings, targets: usize) -> Self {
+        Self {
+            settings,
+            targets: vec![TargetEvidence::default(); targets],
+            sample_term: TermNumber::default(),
+            samples: Vec::new(),
+        }
+    }
+
+    /// Takes the answer to a status call that was started at `asked_at`. Reports of targets that are
+    /// not declared are ignored; reports may arrive in any order.
+    pub fn observe(&mut self, target: TargetIndex, asked_at: MonoTime, report: &TargetReport) {
+        let Some(evidence) = self.targets.get_mut(target.as_usize()) else {
+            return;
+        };
+        if evidence
+            .latest_asked_at
+            .is_none_or(|latest| latest <= asked_at)
+        {
+            evidence.latest_asked_at = Some(asked_at);
+            evidence.is_primary = report.is_primary;
+        }
+        evidence.add(asked_at, report);
+        if report.is_primary {
+            self.add_sample(asked_at, report);
+        }
+    }
+
+    /// What the reports so far say of a write.
+    pub fn check(&self, write: &PendingWrite) -> Confirmation {
+        let majority = majority_of(self.targets.len());
+        // The primary counts as one: it held the write when it answered, and had not promised a higher
+        // term, or it would have refused the write.
+        let mut confirmed = 1;
+        let mut fenced = 0;
+        let mut open = 0;
+        for (i, evidence) in self.targets.iter().enumerate() {
+            let is_fenced = evidence.promised() > write.term;
+            fenced += usize::from(is_fenced);
+            if i == write.primary.as_usize() {
+                continue;
+            }
+            if evidence.confirms(write) {
+                confirmed += 1;
+            } else if !is_fenced {
+                open += 1;
+            }
+        }
+        if confirmed >= majority {
+            Confirmation::Confirmed
+        } else if fenced >= majority && confirmed + open < majority {
+            Confirmation::Refuted
+        } else {
+            Confirmation::Waiting
+        }
+    }
+
+    /// Whether so few replicas are within `confirm_lag_limit` that a new write would not be confirmed.
+    /// With three targets this means that no replica is.
+    ///
+    /// Every report of the primary is a sample (s, P): whoever holds P has every write that was
+    /// committed before the local time s. If s is the latest sample that a replica is known to hold, and
+    /// s' the latest sample of all, the replica was behind by at most s' − s at time s', and both times
+    /// are of this instance's clock. The bound is on the safe side: it includes the time since the last
+    /// report of the replica, and the replica may be further than reported.
+    ///
+    /// If there is no sample within the limit, nothing is known and the answer is `false`: refusing
+    /// writes would also stop the answers that serve as samples.
+    pub fn is_lagging(&self, now: MonoTime) -> bool {
+        let limit = self.settings.confirm_lag_limit;
+        let (Some(first), Some(last)) = (self.samples.first(), self.samples.last()) else {
+            return false;
+        };
+        if now - last.asked_at > limit || last.asked_at - first.asked_at <= limit {
+            return false;
+        }
+        let within = self
+            .targets
+            .iter()
+            .filter(|evidence| !evidence.is_primary)
+            .filter(|evidence| {
+                self.samples
+                    .iter()
+                    .rev()
+                    .take_while(|sample| last.asked_at - sample.asked_at <= limit)
+                    .any(|sample| evidence.holds(sample.position))
+            })
+            .count();
+        within + 1 < majority_of(self.targets.len())
+    }
+
+    fn add_sample(&mut self, asked_at: MonoTime, report: &TargetReport) {
+        let term = report.highest_term();
+        if term < self.sample_term {
+            return;
+        }
+        if term > self.sample_term {
+            self.sample_term = term;
+            self.samples.clear();
+        }
+        if self
+            .samples
+            .last()
+            .is_some_and(|last| asked_at <= last.asked_at)
+        {
+            return;
+        }
+        // Samples closer than a sixteenth of the limit replace one another, so that the kept ones
+        // reach back over the limit however often the primary is asked.
+        let step = self.settings.confirm_lag_limit / 16;
+        if let [.., before, last] = self.samples.as_slice()
+            && last.asked_at - before.asked_at < step
+        {
+            self.samples.pop();
+        }
+        if self.samples.len() == MAX_SAMPLES {
+            self.samples.remove(0);
+        }
+        self.samples.push(PrimarySample {
+            asked_at,
+            position: report.end,
+        });
+    }
+}
+
+impl TargetEvidence {
+    fn add(&mut self, asked_at: MonoTime, report: &TargetReport) {
+        let promised = report.highest_term();
+        let found = self
+            .terms
+            .binary_search_by_key(&promised, |kept| kept.promised);
+        match found {
+            Ok(i) => {
+                let kept = &mut self.terms[i];
+                kept.last_asked_at = kept.last_asked_at.max(asked_at);
+                if report.end >= kept.end {
+                    kept.end = report.end;
+                    kept.history.clone_from(&report.history);
+                }
+            }
+            Err(i) => {
+                self.terms.insert(
+                    i,
+                    TermEvidence {
+                        promised,
+                        last_asked_at: asked_at,
+                        end: report.end,
+                        history: report.history.clone(),
+                    },
+                );
+                if self.terms.len() > MAX_KEPT_TERMS {
+                    self.terms.remove(0);
+                }
+            }
+        }
+    }
+
+    fn promised(&self) -> TermNumber {
+        self.terms
+            .last()
+            .map_or(TermNumber::default(), |kept| kept.promised)
+    }
+
+    fn confirms(&self, write: &PendingWrite) -> bool {
+        let usable = self.terms.iter().filter(|kept| kept.promised <= write.term);
+        match write.mode {
+            AckMode::Replicated => usable.into_iter().any(|kept| {
+                kept.end.term == write.term
+                    && holds_position(kept.end, &kept.history, write.position)
+            }),
+            // Unlike a held record, a status call says nothing about later promotions, so a target
+            // that has promised a higher term since does not count.
+            AckMode::Primary => {
+                self.promised() <= write.term
+                    && usable
+                        .into_iter()
+                        .any(|kept| kept.last_asked_at > write.answered_at)
+            }
+        }
+    }
+
+    fn holds(&self, position: GroupPosition) -> bool {
+        self.terms
+            .last()
+            .is_some_and(|kept| holds_position(kept.end, &kept.history, position))
+    }
+}
--- /dev/null
+++ b/crates/failover/src/judge.rs
@@ -0,0 +1,219 @@
+//! Whether an observer may start a promotion now.
+//!
+//! An observer needs its own suspicion and a second source: a replica that has not heard from the
+//! primary for as long, or an observer in another data centre. Observers act in rank order, and after a
+//! failed run with growing, jittered delays, so that few of them run at the same time. None of this is
+//! needed for safety, which the terms provide; it bounds the number of runs.
+
+use std::time::Duration;
+
+use displaydoc::Display;
+
+use heatherhollow_types::DataCentre;
+use heatherhollow_types::MonoTime;
+
+use crate::monitor::Suspicion;
+
+/// Settings of a [`PromotionJudge`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JudgeSettings {
+    /// Time between the starts of two successive ranks.
+    pub rank_step: Duration,
+    /// Delay after the first failed run; it doubles with every further one.
+    pub retry_base: Duration,
+    /// Largest delay after a failed run, before jitter.
+    pub retry_limit: Duration,
+    /// How long a run of another candidate is given to finish. A run takes two round trips and the
+    /// grace time, which is below 100 ms even between regions.
+    pub contest_hold: Duration,
+    /// Number of runs that an instance has at the same time, over all groups. A rack failure hits many
+    /// groups at once.
+    pub max_runs: usize,
+    /// Age from which a replica's report is not used any more.
+    pub max_report_age: Duration,
+    /// Age from which another observer's suspicion is not used any more.
+    pub max_peer_age: Duration,
+}
+
+impl Default for JudgeSettings {
+    fn default() -> Self {
+        Self {
+            rank_step: Duration::from_millis(150),
+            retry_base: Duration::from_millis(200),
+            retry_limit: Duration::from_millis(3_200),
+            contest_hold: Duration::from_millis(400),
+            max_runs: 8,
+            max_report_age: Duration::from_millis(500),
+            max_peer_age: Duration::from_millis(1_000),
+        }
+    }
+}
+
+/// What a replica says about the silence of its primary.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SilenceReport {
+    /// Start of the status call.
+    pub asked_at: MonoTime,
+    /// `primary_silent_for` of the answer.
+    pub silent_for: Option<Duration>,
+}
+
+/// Another observer's suspicion of the same primary in the same term.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerSuspicion {
+    /// Data centre of the observer.
+    pub data_centre: DataCentre,
+    /// Time since the peer last said that it suspects the primary.
+    pub age: Duration,
+}
+
+/// Why a promotion is considered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PromotionTrigger {
+    /// The primary may be dead.
+    Suspicion(Suspicion),
+    /// An operator, or a primary that leaves, asks for another primary; needs no suspicion.
+    Planned {
+        /// When this instance learned of it.
+        since: MonoTime,
+    },
+}
+
+/// What a decision is made from.
+#[derive(Debug, Clone)]
+pub struct JudgeInput<'a> {
+    /// Why a promotion is considered.
+    pub trigger: PromotionTrigger,
+    /// Threshold of the own monitor.
+    pub threshold: Duration,
+    /// Latest report of each replica.
+    pub replicas: &'a [SilenceReport],
+    /// Other observers that suspect the primary.
+    pub peers: &'a [PeerSuspicion],
+    /// Data centre of this instance.
+    pub data_centre: &'a DataCentre,
+    /// Rank among the group's observers, from [`rank_of`](crate::rank_of).
+    pub rank: Option<usize>,
+    /// Runs that this instance has going on, over all groups.
+    pub active_runs: usize,
+}
+
+/// Whether a run may start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JudgeDecision {
+    /// It may start now.
+    Start,
+    /// Not before this time; ask again then.
+    WaitUntil(MonoTime),
+    /// Not in the present situation.
+    Hold(HoldReason),
+}
+
+/// Why no run may start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum HoldReason {
+    /// the primary is not suspected
+    NotSuspected,
+    /// no replica and no observer in another data centre confirms the suspicion
+    Unconfirmed,
+    /// this instance does not observe the group
+    NotObserver,
+    /// this instance already has a run for the group
+    RunActive,
+    /// this instance has as many runs as it may have
+    TooManyRuns,
+}
+
+/// Decides for one group of one instance when a run may start.
+#[derive(Debug, Clone)]
+pub struct PromotionJudge {
+    settings: JudgeSettings,
+    failures: u32,
+    not_before: MonoTime,
+    is_running: bool,
+}
+
+impl PromotionJudge {
+    /// A judge without earlier runs.
+    pub fn new(settings: JudgeSettings) -> Self {
+        Self {
+            settings,
+            failures: 0,
+            not_before: MonoTime::ZERO,
+            is_running: false,
+        }
+    }
+
+    /// Whether a run may start at `now`.
+    pub fn decide(&self, input: &JudgeInput<'_>, now: MonoTime) -> JudgeDecision {
+        let since = match input.trigger {
+            PromotionTrigger::Planned { since } => since,
+            PromotionTrigger::Suspicion(suspicion) => match suspicion.suspected_since() {
+                None => return JudgeDecision::Hold(HoldReason::NotSuspected),
+                Some(_) if !self.is_confirmed(input, now) => {
+                    return JudgeDecision::Hold(HoldReason::Unconfirmed);
+                }
+                Some(since) => since,
+            },
+        };
+        let Some(rank) = input.rank else {
+            return JudgeDecision::Hold(HoldReason::NotObserver);
+        };
+        if self.is_running {
+            return JudgeDecision::Hold(HoldReason::RunActive);
+        }
+        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+        let ready_at = since.max(self.not_before) + self.settings.rank_step.saturating_mul(rank);
+        if now < ready_at {
+            return JudgeDecision::WaitUntil(ready_at);
+        }
+        if input.active_runs >= self.settings.max_runs {
+            return JudgeDecision::Hold(HoldReason::TooManyRuns);
+        }
+        JudgeDecision::Start
+    }
+
+    /// A run was started.
+    pub fn run_started(&mut self) {
+        self.is_running = true;
+    }
+
+    /// The run ended without a primary. `random` is uniform over all numbers; it spreads the next runs
+    /// of instances that failed together.
+    pub fn run_failed(&mut self, now: MonoTime, random: u64) {
+        self.is_running = false;
+        let factor = 2_u32.saturating_pow(self.failures);
+        self.failures = self.failures.saturating_add(1);
+        let delay = self.settings.retry_base.saturating_mul(factor);
+        let delay = delay.min(self.settings.retry_limit);
+        let jitter = delay.mul_f64(random as f64 / u64::MAX as f64);
+        self.not_before = self.not_before.max(now + delay + jitter);
+    }
+
+    /// The run ended with a primary.
+    pub fn run_finished(&mut self) {
+        self.is_running = false;
+        self.failures = 0;
+    }
+
+    /// A term above the established one was seen that this instance did not hand out: another candidate
+    /// is at work. Call it once for each such term.
+    pub fn other_run_seen(&mut self, now: MonoTime) {
+        self.not_before = self.not_before.max(now + self.settings.contest_hold);
+    }
+
+    fn is_confirmed(&self, input: &JudgeInput<'_>, now: MonoTime) -> bool {
+        // The age of a report is not added to the silence it states: the replica may have heard from
+        // its primary since.
+        let by_replica = input.replicas.iter().any(|report| {
+            now - report.asked_at <= self.settings.max_report_age
+                && report
+                    .silent_for
+                    .is_some_and(|span| span >= input.threshold)
+        });
+        let by_peer = input.peers.iter().any(|peer| {
+            peer.age <= self.settings.max_peer_age && peer.data_centre != *input.data_centre
+        });
+        by_replica || by_peer
+    }
+}
--- /dev/null
+++ b/crates/failover/src/run.rs
@@ -0,0 +1,580 @@
+//! State machine of one promotion.
+//!
+//! A run asks all targets to promise its term, chooses the promised target with the furthest log once a
+//! majority has promised, and makes it the primary. It never chooses a second target in its term: the
+//! first one may have become primary although its reply was lost. Calls are idempotent and are repeated
+//! until they are answered. A finished run goes on to tell targets that were not reached which primary
+//! to follow.
+//!
+//! A planned promotion names its target. It waits, without fencing anything, until the target is close
+//! behind the primary; then it fences the primary, which ends writes, and waits for the target to
+//! receive the rest of the log, because the target takes no more records of the old term once it has
+//! promised the new one. From the first fence on, the run always tries to end with a primary, even if
+//! that is the old one again, so that the group is not left without one.
+
+use std::time::Duration;
+
+use heatherhollow_types::CandidateId;
+use heatherhollow_types::GroupPosition;
+use heatherhollow_types::MonoTime;
+use heatherhollow_types::TargetIndex;
+use heatherhollow_types::TermNumber;
+
+use crate::action::AbandonReason;
+use crate::action::FenceAnswer;
+use crate::action::PromoteAnswer;
+use crate::action::PromotionAction;
+use crate::action::RunSettings;
+use crate::action::RunTarget;
+use crate::report::TargetReport;
+use crate::report::majority_of;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FenceState {
+    Unanswered,
+    /// The latest call failed; the target is not waited for during the grace time.
+    Unreachable,
+    Refused,
+    Promised(GroupPosition),
+}
+
+#[derive(Debug, Clone)]
+struct TargetProgress {
+    index: TargetIndex,
+    is_leaving: bool,
+    fence: FenceState,
+    sent_at: Option<MonoTime>,
+    has_followed: bool,
+}
+
+/// A planned promotion: its participants and what is known of their logs.
+#[derive(Debug, Clone)]
+struct PlannedMove {
+    named: TargetIndex,
+    primary: TargetIndex,
+    named_end: Option<GroupPosition>,
+    /// Positions of the primary with the start of the call that returned them, oldest first.
+    samples: Vec<(MonoTime, GroupPosition)>,
+    inspected_at: Option<MonoTime>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RunPhase {
+    CatchUp {
+        until: MonoTime,
+    },
+    Tail {
+        until: MonoTime,
+    },
+    Fence {
+        until: MonoTime,
+        majority_at: Option<MonoTime>,
+    },
+    Promote {
+        until: MonoTime,
+        chosen: TargetIndex,
+    },
+    Finished {
+        primary: TargetIndex,
+    },
+    Ended,
+}
+
+/// One attempt to give a group a new primary.
+///
+/// ```
+/// use heatherhollow_failover::{FenceAnswer, PromotionAction, PromotionRun, RunSettings, RunTarget};
+/// use heatherhollow_types::{CandidateId, GroupPosition, Incarnation, MonoTime, TargetIndex, TermNumber};
+/// let candidate = CandidateId { instance: "i-1".parse().unwrap(), incarnation: Incarnation(1) };
+/// let targets = [0, 1, 2].map(|i| RunTarget { index: TargetIndex(i), is_leaving: false });
+/// let (now, term) = (MonoTime::ZERO, TermNumber(2));
+/// let (mut run, actions) = PromotionRun::start(RunSettings::default(), now, term, candidate, &targets);
+/// assert_eq!(actions.len(), 3);
+/// for (target, position) in [(1, 40), (2, 42)] {
+///     let end = GroupPosition::new(1, position);
+///     let answer = FenceAnswer { is_accepted: true, promised: term, end, is_leaving: false };
+///     run.on_fence_reply(now, TargetIndex(target), answer);
+/// }
+/// let actions = run.tick(MonoTime::from_millis(30));
+/// assert!(actions.contains(&PromotionAction::Promote { target: TargetIndex(2), term }));
+/// ```
+#[derive(Debug, Clone)]
+pub struct PromotionRun {
+    settings: RunSettings,
+    term: TermNumber,
+    candidate: CandidateId,
+    /// In the order of preference.
+    targets: Vec<TargetProgress>,
+    phase: RunPhase,
+    planned: Option<PlannedMove>,
+    highest_promised: TermNumber,
+}
+
+impl PromotionRun {
+    /// Starts a run. `targets` are all declared targets in the order of preference (those in the region
+    /// of the old primary first); `term` must never have been used by this candidate before.
+    pub fn start(
+        settings: RunSettings,
+        now: MonoTime,
+        term: TermNumber,
+        candidate: CandidateId,
+        targets: &[RunTarget],
+    ) -> (Self, Vec<PromotionAction>) {
+        let mut run = Self::new(settings, now, term, candidate, targets);
+        let actions = run.tick(now);
+        (run, actions)
+    }
+
+    /// Starts a planned run from `primary` to the target `named`, which must be among `targets`.
+    pub fn start_planned(
+        settings: RunSettings,
+        now: MonoTime,
+        term: TermNumber,
+        candidate: CandidateId,
+        targets: &[RunTarget],
+        primary: TargetIndex,
+        named: TargetIndex,
+    ) -> (Self, Vec<PromotionAction>) {
+        let mut run = Self::new(settings, now, term, candidate, targets);
+        run.targets.sort_by_key(|progress| progress.index != named);
+        run.planned = Some(PlannedMove {
+            named,
+            primary,
+            named_end: None,
+            samples: Vec::new(),
+            inspected_at: None,
+        });
+        run.phase = RunPhase::CatchUp {
+            until: now + run.settings.catch_up_timeout,
+        };
+        let actions = run.tick(now);
+        (run, actions)
+    }
+
+    /// Term of the run.
+    pub fn term(&self) -> TermNumber {
+        self.term
+    }
+
+    /// The candidate that the calls of the run carry.
+    pub fn candidate(&self) -> &CandidateId {
+        &self.candidate
+    }
+
+    /// Whether the run still tries to make a primary; an instance may have few such runs.
+    pub fn is_active(&self) -> bool {
+        !matches!(self.phase, RunPhase::Finished { .. } | RunPhase::Ended)
+    }
+
+    /// Whether nothing is left to do, not even for targets that were not reached.
+    pub fn is_settled(&self) -> bool {
+        match self.phase {
+            RunPhase::Ended => true,
+            RunPhase::Finished { primary } => self
+                .targets
+                .iter()
+                .all(|progress| progress.has_followed || progress.index == primary),
+            _ => false,
+        }
+    }
+
+    /// Takes the answer to a fence call of this run.
+    pub fn on_fence_reply(
+        &mut self,
+        now: MonoTime,
+        target: TargetIndex,
+        answer: FenceAnswer,
+    ) -> Vec<PromotionAction> {
+        if let Some(actions) = self.check_promised(answer.promised) {
+            return actions;
+        }
+        let term = self.term;
+        let Some(progress) = self.progress_of(target) else {
+            return Vec::new();
+        };
+        progress.is_leaving |= answer.is_leaving;
+        if answer.promised != term {
+            return self.tick(now);
+        }
+        if answer.is_accepted {
+            // After the choice a repeated reply may show records of the new term.
+            if !matches!(progress.fence, FenceState::Promised(_)) {
+                progress.fence = FenceState::Promised(answer.end);
+            }
+        } else {
+            progress.fence = FenceState::Refused;
+            if let RunPhase::Fence { until, .. } = &mut self.phase {
+                *until = (*until).min(now + self.settings.race_timeout);
+            }
+        }
+        self.tick(now)
+    }
+
+    /// Takes the answer to a promote call of this run; a call that failed without an answer goes to
+    /// [`on_call_failed`](Self::on_call_failed).
+    pub fn on_promote_reply(
+        &mut self,
+        now: MonoTime,
+        target: TargetIndex,
+        answer: PromoteAnswer,
+    ) -> Vec<PromotionAction> {
+        if let Some(actions) = self.check_promised(answer.promised.unwrap_or_default()) {
+            return actions;
+        }
+        let RunPhase::Promote { chosen, .. } = self.phase else {
+            return Vec::new();
+        };
+        if chosen != target {
+            return Vec::new();
+        }
+        if !answer.is_accepted {
+            return self.abandon(AbandonReason::TargetRefused);
+        }
+        self.phase = RunPhase::Finished { primary: target };
+        for progress in &mut self.targets {
+            progress.sent_at = None;
+        }
+        let mut actions = vec![PromotionAction::Finished {
+            primary: target,
+            term: self.term,
+        }];
+        actions.extend(self.tick(now));
+        actions
+    }
+
+    /// A target has taken the call to follow the primary of this run.
+    pub fn on_follow_reply(&mut self, target: TargetIndex) {
+        if let Some(progress) = self.progress_of(target) {
+            progress.has_followed = true;
+        }
+    }
+
+    /// A call of this run to a target failed without an answer; it is repeated after the interval.
+    pub fn on_call_failed(&mut self, now: MonoTime, target: TargetIndex) -> Vec<PromotionAction> {
+        if let Some(progress) = self.progress_of(target)
+            && progress.fence == FenceState::Unanswered
+        {
+            progress.fence = FenceState::Unreachable;
+        }
+        self.tick(now)
+    }
+
+    /// A target that was not reached before can be reached now; its call is repeated at once.
+    pub fn target_appeared(&mut self, now: MonoTime, target: TargetIndex) -> Vec<PromotionAction> {
+        if let Some(progress) = self.progress_of(target) {
+            progress.sent_at = None;
+            if progress.fence == FenceState::Unreachable {
+                progress.fence = FenceState::Unanswered;
+            }
+        }
+        self.tick(now)
+    }
+
+    /// Takes a status that was asked for at `asked_at`; needed by planned runs only.
+    pub fn on_report(
+        &mut self,
+        now: MonoTime,
+        target: TargetIndex,
+        asked_at: MonoTime,
+        report: &TargetReport,
+    ) -> Vec<PromotionAction> {
+        if let Some(planned) = &mut self.planned {
+            if target == planned.named {
+                planned.named_end = planned.named_end.max(Some(report.end));
+            } else if target == planned.primary && report.is_primary {
+                planned.samples.push((asked_at, report.end));
+            }
+        }
+        self.tick(now)
+    }
+
+    /// A primary of a term is known. If the term is higher than that of the run, the run ends.
+    pub fn on_established(&mut self, term: TermNumber) -> Vec<PromotionAction> {
+        self.check_promised(term).unwrap_or_default()
+    }
+
+    /// Repeats calls, ends phases. Call it when the grace time may have passed and at least as often as
+    /// calls are to be repeated.
+    pub fn tick(&mut self, now: MonoTime) -> Vec<PromotionAction> {
+        let mut actions = Vec::new();
+        if matches!(self.phase, RunPhase::CatchUp { .. } | RunPhase::Tail { .. }) {
+            self.tick_planned(now, &mut actions);
+        }
+        match self.phase {
+            RunPhase::Fence { until, majority_at } => {
+                self.tick_fence(now, until, majority_at, &mut actions);
+            }
+            RunPhase::Promote { until, chosen } => {
+                if now >= until {
+                    return self.abandon(AbandonReason::TargetLost);
+                }
+                self.send_promote(now, chosen, &mut actions);
+            }
+            RunPhase::Finished { primary } => self.send_follow(now, primary, &mut actions),
+            RunPhase::CatchUp { .. } | RunPhase::Tail { .. } | RunPhase::Ended => {}
+        }
+        actions
+    }
+}
+
+impl PromotionRun {
+    fn new(
+        settings: RunSettings,
+        now: MonoTime,
+        term: TermNumber,
+        candidate: CandidateId,
+        targets: &[RunTarget],
+    ) -> Self {
+        let targets = targets.iter().map(|target| TargetProgress {
+            index: target.index,
+            is_leaving: target.is_leaving,
+            fence: FenceState::Unanswered,
+            sent_at: None,
+            has_followed: false,
+        });
+        Self {
+            term,
+            candidate,
+            targets: targets.collect(),
+            phase: RunPhase::Fence {
+                until: now + settings.fence_timeout,
+                majority_at: None,
+            },
+            planned: None,
+            highest_promised: term,
+            settings,
+        }
+    }
+
+    fn progress_of(&mut self, target: TargetIndex) -> Option<&mut TargetProgress> {
+        self.targets
+            .iter_mut()
+            .find(|progress| progress.index == target)
+    }
+
+    fn check_promised(&mut self, promised: TermNumber) -> Option<Vec<PromotionAction>> {
+        self.highest_promised = self.highest_promised.max(promised);
+        if promised <= self.term {
+            return None;
+        }
+        let actions = if self.is_active() {
+            self.abandon(AbandonReason::HigherTerm)
+        } else {
+            Vec::new()
+        };
+        // A finished run stops telling targets to follow a replaced primary.
+        self.phase = RunPhase::Ended;
+        Some(actions)
+    }
+
+    fn abandon(&mut self, reason: AbandonReason) -> Vec<PromotionAction> {
+        self.phase = RunPhase::Ended;
+        vec![PromotionAction::Abandoned {
+            reason,
+            highest_promised: self.highest_promised,
+        }]
+    }
+
+    fn tick_planned(&mut self, now: MonoTime, actions: &mut Vec<PromotionAction>) {
+        let Some(planned) = &mut self.planned else {
+            return;
+        };
+        let (named, primary) = (planned.named, planned.primary);
+        if let RunPhase::CatchUp { until } = self.phase {
+            let oldest = self.settings.catch_up_lag;
+            planned.samples.retain(|&(at, _)| now - at <= oldest);
+            let is_close = planned
+                .samples
+                .iter()
+                .any(|&(_, position)| planned.named_end >= Some(position));
+            if is_close {
+                self.phase = RunPhase::Tail {
+                    until: now + self.settings.tail_timeout,
+                };
+            } else if now >= until {
+                actions.extend(self.abandon(AbandonReason::NotCaughtUp));
+                return;
+            }
+        }
+        if let RunPhase::Tail { until } = self.phase {
+            let named_end = self.planned.as_ref().and_then(|planned| planned.named_end);
+            let is_complete = match self.fence_state(primary) {
+                Some(FenceState::Promised(end)) => named_end >= Some(end),
+                // Another candidate has fenced the primary; the full fence settles who wins.
+                Some(FenceState::Refused) | None => true,
+                Some(FenceState::Unanswered | FenceState::Unreachable) => false,
+            };
+            if is_complete || now >= until {
+                self.phase = RunPhase::Fence {
+                    until: now + self.settings.fence_timeout,
+                    majority_at: None,
+                };
+                return;
+            }
+            self.send_fence(now, |progress| progress.index == primary, actions);
+        }
+        let interval = self.settings.inspect_interval;
+        if let Some(planned) = &mut self.planned
+            && planned.inspected_at.is_none_or(|at| now - at >= interval)
+        {
+            planned.inspected_at = Some(now);
+            actions.push(PromotionAction::Inspect { target: named });
+            if matches!(self.phase, RunPhase::CatchUp { .. }) {
+                actions.push(PromotionAction::Inspect { target: primary });
+            }
+        }
+    }
+
+    fn fence_state(&self, target: TargetIndex) -> Option<FenceState> {
+        self.targets
+            .iter()
+            .find(|progress| progress.index == target)
+            .map(|progress| progress.fence)
+    }
+
+    fn tick_fence(
+        &mut self,
+        now: MonoTime,
+        until: MonoTime,
+        majority_at: Option<MonoTime>,
+        actions: &mut Vec<PromotionAction>,
+    ) {
+        let majority = majority_of(self.targets.len());
+        let count = |wanted: fn(FenceState) -> bool| {
+            let states = self.targets.iter().map(|progress| progress.fence);
+            states.filter(|&state| wanted(state)).count()
+        };
+        let promised = count(|state| matches!(state, FenceState::Promised(_)));
+        let refused = count(|state| state == FenceState::Refused);
+        let unanswered = count(|state| state == FenceState::Unanswered);
+        if promised >= majority {
+            let majority_at = majority_at.unwrap_or(now);
+            let may_choose = unanswered == 0 || now >= majority_at + self.grace();
+            if may_choose && let Some(chosen) = self.choose() {
+                self.phase = RunPhase::Promote {
+                    until: now + self.settings.promote_timeout,
+                    chosen,
+                };
+                self.set_unsent(chosen);
+                self.send_promote(now, chosen, actions);
+                return;
+            }
+            self.phase = RunPhase::Fence {
+                until,
+                majority_at: Some(majority_at),
+            };
+        } else if self.targets.len() - refused < majority {
+            actions.extend(self.abandon(AbandonReason::LostRace));
+            return;
+        } else if now >= until {
+            let reason = if refused > 0 {
+                AbandonReason::LostRace
+            } else {
+                AbandonReason::NoMajority
+            };
+            actions.extend(self.abandon(reason));
+            return;
+        }
+        self.send_fence(now, |_| true, actions);
+    }
+
+    /// Grace time after the majority; a named target that has not promised yet is given longer.
+    fn grace(&self) -> Duration {
+        let named = self.planned.as_ref().map(|planned| planned.named);
+        match named.and_then(|named| self.fence_state(named)) {
+            Some(FenceState::Unanswered) => self.settings.tail_timeout,
+            _ => self.settings.grace,
+        }
+    }
+
+    /// The promised target with the furthest log; among equals one that is not leaving, then the first
+    /// in the order of preference.
+    fn choose(&self) -> Option<TargetIndex> {
+        let mut best: Option<(GroupPosition, bool, TargetIndex)> = None;
+        for progress in &self.targets {
+            if let FenceState::Promised(end) = progress.fence {
+                let stays = !progress.is_leaving;
+                if best
+                    .is_none_or(|(best_end, best_stays, _)| (end, stays) > (best_end, best_stays))
+                {
+                    best = Some((end, stays, progress.index));
+                }
+            }
+        }
+        best.map(|(_, _, index)| index)
+    }
+
+    fn set_unsent(&mut self, target: TargetIndex) {
+        if let Some(progress) = self.progress_of(target) {
+            progress.sent_at = None;
+        }
+    }
+
+    fn send_fence(
+        &mut self,
+        now: MonoTime,
+        wanted: impl Fn(&TargetProgress) -> bool,
+        actions: &mut Vec<PromotionAction>,
+    ) {
+        let (term, interval) = (self.term, self.settings.retry_interval);
+        for progress in self.targets.iter_mut().filter(|progress| wanted(progress)) {
+            let is_open = matches!(
+                progress.fence,
+                FenceState::Unanswered | FenceState::Unreachable
+            );
+            if is_open && progress.is_due(now, interval) {
+                actions.push(PromotionAction::Fence {
+                    target: progress.index,
+                    term,
+                });
+            }
+        }
+    }
+
+    fn send_promote(
+        &mut self,
+        now: MonoTime,
+        chosen: TargetIndex,
+        actions: &mut Vec<PromotionAction>,
+    ) {
+        let (term, interval) = (self.term, self.settings.retry_interval);
+        if let Some(progress) = self.progress_of(chosen)
+            && progress.is_due(now, interval)
+        {
+            actions.push(PromotionAction::Promote {
+                target: chosen,
+                term,
+            });
+        }
+    }
+
+    fn send_follow(
+        &mut self,
+        now: MonoTime,
+        primary: TargetIndex,
+        actions: &mut Vec<PromotionAction>,
+    ) {
+        let (term, interval) = (self.term, self.settings.follow_interval);
+        for progress in &mut self.targets {
+            let is_open = !progress.has_followed && progress.index != primary;
+            if is_open && progress.is_due(now, interval) {
+                actions.push(PromotionAction::Follow {
+                    target: progress.index,
+                    term,
+                    primary,
+                });
+            }
+        }
+    }
+}
+
+impl TargetProgress {
+    /// Whether a call has to be sent now; notes that it is.
+    fn is_due(&mut self, now: MonoTime, interval: Duration) -> bool {
+        let is_due = self.sent_at.is_none_or(|at| now - at >= interval);
+        if is_due {
+            self.sent_at = Some(now);
+        }
+        is_due
+    }
+}
--- /dev/null
+++ b/crates/failover/tests/judge.rs
@@ -0,0 +1,408 @@
+//! When a run may start, and how many runs a failure causes.
+
+mod common;
+
+use std::time::Duration;
+
+use common::ModelTarget;
+use common::assert_caught;
+use common::assert_holds;
+use common::candidate;
+use common::new_group;
+use heatherhollow_failover::FenceAnswer;
+use heatherhollow_failover::HighestTerm;
+use heatherhollow_failover::HoldReason;
+use heatherhollow_failover::JudgeDecision;
+use heatherhollow_failover::JudgeInput;
+use heatherhollow_failover::JudgeSettings;
+use heatherhollow_failover::PeerSuspicion;
+use heatherhollow_failover::PromoteAnswer;
+use heatherhollow_failover::PromotionAction;
+use heatherhollow_failover::PromotionJudge;
+use heatherhollow_failover::PromotionRun;
+use heatherhollow_failover::PromotionTrigger;
+use heatherhollow_failover::RunSettings;
+use heatherhollow_failover::RunTarget;
+use heatherhollow_failover::SilenceReport;
+use heatherhollow_failover::Suspicion;
+use heatherhollow_failover::TargetReport;
+use heatherhollow_failover::rank_of;
+use heatherhollow_types::DataCentre;
+use heatherhollow_types::InstanceName;
+use heatherhollow_types::MonoTime;
+use heatherhollow_types::TargetIndex;
+use heatherhollow_types::TermNumber;
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn input<'a>(
+    data_centre: &'a DataCentre,
+    replicas: &'a [SilenceReport],
+    peers: &'a [PeerSuspicion],
+) -> JudgeInput<'a> {
+    JudgeInput {
+        trigger: PromotionTrigger::Suspicion(Suspicion::Suspected { since: at(1_000) }),
+        threshold: millis(650),
+        replicas,
+        peers,
+        data_centre,
+        rank: Some(0),
+        active_runs: 0,
+    }
+}
+
+// Guards against a promotion that one observer starts because of its own broken network.
+#[test]
+fn suspicion_needs_a_second_source() {
+    let judge = PromotionJudge::new(JudgeSettings::default());
+    let (here, there): (DataCentre, DataCentre) =
+        ("aqaba-a".parse().unwrap(), "amman-a".parse().unwrap());
+    let hold = JudgeDecision::Hold(HoldReason::Unconfirmed);
+    for (asked_at, silent_for, wanted) in [
+        (900, Some(649), hold),
+        (900, Some(650), JudgeDecision::Start),
+        (400, Some(650), hold),
+        (900, None, hold),
+    ] {
+        let silent_for = silent_for.map(millis);
+        let asked_at = at(asked_at);
+        let reports = [SilenceReport {
+            asked_at,
+            silent_for,
+        }];
+        assert_eq!(
+            judge.decide(&input(&here, &reports, &[]), at(1_000)),
+            wanted
+        );
+    }
+    for (data_centre, age, wanted) in [
+        (&here, 100, hold),
+        (&there, 100, JudgeDecision::Start),
+        (&there, 1_001, hold),
+    ] {
+        let peers = [PeerSuspicion {
+            data_centre: data_centre.clone(),
+            age: millis(age),
+        }];
+        assert_eq!(judge.decide(&input(&here, &[], &peers), at(1_000)), wanted);
+    }
+}
+
+// Guards against observers that all act at once, against more than 8 runs of an instance, and against a
+// planned promotion that waits for a suspicion.
+#[test]
+fn rank_attempts_and_active_runs_delay() {
+    let mut judge = PromotionJudge::new(JudgeSettings::default());
+    let here = "aqaba-a".parse().unwrap();
+    let reports = [SilenceReport {
+        asked_at: at(1_000),
+        silent_for: Some(millis(700)),
+    }];
+    let base = input(&here, &reports, &[]);
+    let ranked = |rank| JudgeInput {
+        rank,
+        ..base.clone()
+    };
+    let now = at(1_000);
+    let wait = |millis| JudgeDecision::WaitUntil(at(millis));
+    let hold = JudgeDecision::Hold;
+    assert_eq!(judge.decide(&ranked(Some(2)), now), wait(1_300));
+    assert_eq!(
+        judge.decide(&ranked(None), now),
+        hold(HoldReason::NotObserver)
+    );
+    let busy = |active_runs| JudgeInput {
+        active_runs,
+        ..base.clone()
+    };
+    assert_eq!(judge.decide(&busy(7), now), JudgeDecision::Start);
+    assert_eq!(judge.decide(&busy(8), now), hold(HoldReason::TooManyRuns));
+    let planned = JudgeInput {
+        trigger: PromotionTrigger::Planned { since: now },
+        replicas: &[],
+        ..base.clone()
+    };
+    assert_eq!(judge.decide(&planned, now), JudgeDecision::Start);
+    judge.run_started();
+    assert_eq!(judge.decide(&base, now), hold(HoldReason::RunActive));
+    judge.run_failed(now, 0);
+    assert_eq!(judge.decide(&base, now), wait(1_200));
+    judge.run_failed(now, u64::MAX);
+    assert_eq!(judge.decide(&base, now), wait(1_800));
+    judge.run_finished();
+    judge.other_run_seen(at(1_700));
+    assert_eq!(judge.decide(&base, now), wait(2_100));
+}
+
+// Guards against an order that depends on the build, on the order of the list, or on other observers.
+#[test]
+fn ranks_are_stable() {
+    let group = "bookings-db".parse().unwrap();
+    let names = (0..6).map(|i| format!("instance-{i}").parse().unwrap());
+    let observers = names.collect::<Vec<InstanceName>>();
+    let order_of = |observers: &[InstanceName]| {
+        let mut order = observers.to_vec();
+        order.sort_by_key(|name| rank_of(&group, name, observers).unwrap());
+        order
+    };
+    let order = order_of(&observers);
+    let ranks = observers
+        .iter()
+        .map(|name| rank_of(&group, name, &observers).unwrap());
+    assert_eq!(ranks.collect::<Vec<_>>(), [0, 0, 0, 0, 0, 0]);
+    let reversed = observers.iter().rev().cloned().collect::<Vec<_>>();
+    assert_eq!(order_of(&reversed), order);
+    for gone in &observers {
+        let left = |names: &[InstanceName]| {
+            let kept = names.iter().filter(|&name| name != gone);
+            kept.cloned().collect::<Vec<_>>()
+        };
+        assert_eq!(order_of(&left(&observers)), left(&order));
+        assert_eq!(rank_of(&group, gone, &left(&observers)), None);
+    }
+    let firsts = (0..600).filter(|i| {
+        let group = format!("group-{i}").parse().unwrap();
+        rank_of(&group, &observers[0], &observers) == Some(0)
+    });
+    let count = firsts.count();
+    assert!(
+        (60..=140).contains(&count),
+        "{count} of 600 groups have one first"
+    );
+}
+
+/// Answer on its way to an observer.
+enum Reply {
+    Fence(FenceAnswer),
+    Promote(PromoteAnswer),
+    Status(TargetReport),
+}
+
+struct Observer {
+    judge: PromotionJudge,
+    run: Option<PromotionRun>,
+    highest: HighestTerm,
+    paused_until: u64,
+}
+
+/// Three observers of a group whose primary died at time 0. Another target is down as well until
+/// `majority_at`. Returns the number of runs and the time of the first promotion.
+struct Failover {
+    targets: Vec<ModelTarget>,
+    observers: Vec<Observer>,
+    replies: Vec<(u64, usize, usize, Reply)>,
+    random: Vec<u8>,
+    loss: u8,
+    used: usize,
+    runs: usize,
+    promoted_at: Option<u64>,
+}
+
+impl Failover {
+    fn new(settings: &JudgeSettings, random: Vec<u8>, loss: u8) -> Self {
+        let mut targets = new_group(3);
+        targets[0].is_down = true;
+        let observer = || Observer {
+            judge: PromotionJudge::new(settings.clone()),
+            run: None,
+            highest: HighestTerm::default(),
+            paused_until: 0,
+        };
+        Self {
+            targets,
+            observers: vec![observer(), observer(), observer()],
+            replies: Vec::new(),
+            random,
+            loss,
+            used: 0,
+            runs: 0,
+            promoted_at: None,
+        }
+    }
+
+    fn next_byte(&mut self) -> u8 {
+        self.used += 1;
+        let byte = self.random[self.used % self.random.len()];
+        // The short input repeats; the count keeps the repetitions apart.
+        byte.wrapping_add((self.used / self.random.len()).wrapping_mul(37) as u8)
+    }
+
+    fn call(&mut self, now: u64, o: usize, t: usize, step: impl FnOnce(&mut ModelTarget) -> Reply) {
+        if self.targets[t].is_down || self.next_byte() < self.loss {
+            return;
+        }
+        let reply = step(&mut self.targets[t]);
+        let due = now + 2 + u64::from(self.next_byte() % 20);
+        if self.next_byte() >= self.loss {
+            self.replies.push((due, o, t, reply));
+        }
+    }
+
+    fn handle(&mut self, now: u64, o: usize, actions: Vec<PromotionAction>) {
+        let id = candidate(o);
+        for action in actions {
+            match action {
+                PromotionAction::Fence { target, term } => {
+                    let step = |t: &mut ModelTarget| Reply::Fence(t.fence(term, &id));
+                    self.call(now, o, target.as_usize(), step);
+                }
+                PromotionAction::Promote { target, term } => {
+                    let step = |t: &mut ModelTarget| Reply::Promote(t.promote(term, &id));
+                    self.call(now, o, target.as_usize(), step);
+                }
+                PromotionAction::Finished { term, .. } => {
+                    self.observers[o].highest.observe_established(term);
+                    self.observers[o].judge.run_finished();
+                    self.promoted_at.get_or_insert(now);
+                }
+                PromotionAction::Abandoned {
+                    highest_promised, ..
+                } => {
+                    let random = u64::from(self.next_byte()) << 56;
+                    self.observers[o].highest.observe_promised(highest_promised);
+                    self.observers[o].judge.run_failed(at(now), random);
+                }
+                PromotionAction::Follow { .. } | PromotionAction::Inspect { .. } => {}
+            }
+        }
+    }
+
+    fn run_until(&mut self, end: u64, majority_at: u64) {
+        for now in 0..end {
+            self.targets[1].is_down = now < majority_at;
+            for o in 0..self.observers.len() {
+                if now < self.observers[o].paused_until {
+                    continue;
+                }
+                self.take_replies(now, o);
+                if now % 10 == o as u64 {
+                    self.tick(now, o);
+                }
+            }
+        }
+    }
+
+    fn take_replies(&mut self, now: u64, o: usize) {
+        while let Some(i) = self.replies.iter().position(|r| r.1 == o && r.0 <= now) {
+            let (_, _, t, reply) = self.replies.swap_remove(i);
+            let target = TargetIndex(t as u16);
+            let observer = &mut self.observers[o];
+            let actions = match (reply, &mut observer.run) {
+                (Reply::Fence(answer), Some(run)) => run.on_fence_reply(at(now), target, answer),
+                (Reply::Promote(answer), Some(run)) => {
+                    run.on_promote_reply(at(now), target, answer)
+                }
+                (Reply::Status(report), _) => {
+                    observer.highest.observe_established(report.end.term);
+                    if report.is_primary {
+                        observer.highest.observe_established(report.promised);
+                    }
+                    if observer.highest.observe_promised(report.promised) {
+                        observer.judge.other_run_seen(at(now));
+                    }
+                    Vec::new()
+                }
+                _ => Vec::new(),
+            };
+            self.handle(now, o, actions);
+        }
+    }
+
+    fn tick(&mut self, now: u64, o: usize) {
+        if self.next_byte() == 0 {
+            self.observers[o].paused_until = now + 10 * u64::from(self.next_byte());
+        }
+        if now % 100 == o as u64 {
+            for t in 0..3 {
+                self.call(now, o, t, |target| Reply::Status(target.report()));
+            }
+        }
+        let observer = &mut self.observers[o];
+        if let Some(run) = &mut observer.run {
+            let actions = run.tick(at(now));
+            self.handle(now, o, actions);
+        }
+        let observer = &mut self.observers[o];
+        let since = at(700 + 20 * o as u64);
+        if observer.highest.is_replaced(TermNumber(1)) || at(now) < since {
+            return;
+        }
+        let here = "aqaba-a".parse().unwrap();
+        let reports = [SilenceReport {
+            asked_at: at(now),
+            silent_for: Some(millis(now)),
+        }];
+        let input = JudgeInput {
+            trigger: PromotionTrigger::Suspicion(Suspicion::Suspected { since }),
+            rank: Some(o),
+            ..input(&here, &reports, &[])
+        };
+        if observer.judge.decide(&input, at(now)) != JudgeDecision::Start {
+            return;
+        }
+        observer.judge.run_started();
+        self.runs += 1;
+        let term = observer.highest.take_next();
+        let targets = [0, 1, 2].map(|i| RunTarget {
+            index: TargetIndex(i),
+            is_leaving: false,
+        });
+        let (run, actions) = PromotionRun::start(
+            RunSettings::default(),
+            at(now),
+            term,
+            candidate(o),
+            &targets,
+        );
+        observer.run = Some(run);
+        self.handle(now, o, actions);
+    }
+}
+
+fn runs_are_bounded(
+    (random, loss, majority_at): (Vec<u8>, u8, u16),
+    settings: &JudgeSettings,
+) -> Result<(), String> {
+    if random.is_empty() {
+        return Ok(());
+    }
+    let majority_at = u64::from(majority_at % 8_000);
+    let mut failover = Failover::new(settings, random, loss % 40);
+    failover.run_until(14_000, majority_at);
+    // Without a majority a run takes 1 s and the delays are 0.2, 0.4, 0.8, 1.6 and 3.2 s, so that each
+    // observer starts at most 5 runs in the 8 s; after that the first one or two should succeed.
+    if failover.runs > 3 * 6 {
+        return Err(format!("{} runs", failover.runs));
+    }
+    match failover.promoted_at {
+        Some(_) => Ok(()),
+        None => Err("no primary".to_string()),
+    }
+}
+
+// Guards against observers that keep replacing one another's terms, and against giving up.
+#[test]
+fn failures_cause_a_bounded_number_of_runs() {
+    assert_holds(100, 200, |input| {
+        runs_are_bounded(input, &JudgeSettings::default())
+    });
+}
+
+#[test]
+fn missing_delays_are_caught() {
+    assert_caught(100, 50, "runs", |input| {
+        let settings = JudgeSettings {
+            rank_step: Duration::ZERO,
+            retry_base: Duration::ZERO,
+            contest_hold: Duration::ZERO,
+            ..JudgeSettings::default()
+        };
+        runs_are_bounded(input, &settings)
+    });
+}
--- a/crates/limits/src/pool.rs
+++ b/crates/limits/src/pool.rs
@@ -266,6 +266,11 @@
         self.slots.iter().all(|slot| slot.is_withdrawn)
     }
 
+    /// Whether the permit is held, or its connection is still in use.
+    pub fn contains(&self, permit: PermitNumber) -> bool {
+        self.find(permit).is_ok()
+    }
+
     /// Number of connections in each state.
     pub fn counts(&self) -> PoolCounts {
         let mut counts = PoolCounts::default();
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,1 +1,44 @@
-//! Not implemented yet.
+//! The proxy: an engine that runs the decisions of the pure crates over the ports, and its HTTP
+//! interface.
+//!
+//! A caller's request enters at any instance ([`ProxyEngine::handle`]). The entry checks it and hands
+//! it to a coordinator, an instance that observes the group. The coordinator chooses the target and
+//! runs the call on a connection of its own or at an instance that holds one, checks the answer
+//! against age and session, and confirms writes before they are acknowledged.
+
+pub mod api;
+mod call;
+mod caller;
+mod engine;
+mod entry;
+mod execute;
+mod group;
+mod lane;
+mod metrics;
+mod news;
+mod promotion;
+mod reads;
+mod settings;
+mod table;
+mod transactions;
+mod view;
+mod writes;
+
+pub use call::CallAction;
+pub use call::TransactionStep;
+pub use caller::CallerEnd;
+pub use caller::CallerPart;
+pub use caller::CallerRequest;
+pub use caller::CallerStream;
+pub use engine::EngineParts;
+pub use engine::EngineSettings;
+pub use engine::ProxyEngine;
+pub use engine::TargetDirectory;
+pub use group::GroupTiming;
+pub use lane::LaneSettings;
+pub use metrics::ProxyMetrics;
+pub use table::DeclaredGroup;
+pub use table::DeclaredService;
+pub use table::ServiceTable;
+pub use view::ClusterView;
+pub use view::MemberView;
--- /dev/null
+++ b/crates/routing/src/samples.rs
@@ -0,0 +1,88 @@
+//! Bounded list of positions that a primary reported.
+
+use std::time::Duration;
+
+use heatherhollow_types::GroupPosition;
+use heatherhollow_types::MonoTime;
+use heatherhollow_types::TermNumber;
+
+/// Greatest number of samples that are kept.
+pub const MAX_SAMPLES: usize = 256;
+
+/// Greatest time between the oldest and the newest sample.
+pub const MAX_SAMPLE_SPAN: Duration = Duration::from_secs(120);
+
+/// Position that the primary of a term reported in an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct PrimarySample {
+    /// When it was asked.
+    pub asked_at: MonoTime,
+    /// Term in which it was primary; the term of its last record may be lower.
+    pub term: TermNumber,
+    /// The end of its log.
+    pub position: GroupPosition,
+}
+
+impl PrimarySample {
+    /// Whether every log with the position of `other` is shown to be at least as fresh by this one.
+    fn replaces(&self, other: &Self) -> bool {
+        self.term == other.term
+            && self.asked_at >= other.asked_at
+            && self.position <= other.position
+    }
+}
+
+/// Samples in the order in which they were asked for.
+///
+/// Samples that prove nothing beyond another one are not kept, so an idle group takes one entry. A
+/// removed sample can only make a position look older, as the next older sample takes its place.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct SampleList {
+    samples: Vec<PrimarySample>,
+}
+
+impl SampleList {
+    pub(crate) fn as_slice(&self) -> &[PrimarySample] {
+        &self.samples
+    }
+
+    pub(crate) fn retain(&mut self, is_kept: impl Fn(&PrimarySample) -> bool) {
+        self.samples.retain(is_kept);
+    }
+
+    pub(crate) fn insert(&mut self, sample: PrimarySample) {
+        if self.samples.iter().any(|old| old.replaces(&sample)) {
+            return;
+        }
+        self.samples.retain(|old| !sample.replaces(old));
+        let i = self
+            .samples
+            .partition_point(|old| old.asked_at <= sample.asked_at);
+        self.samples.insert(i, sample);
+        if let Some(newest) = self.samples.last().map(|last| last.asked_at) {
+            self.samples
+                .retain(|old| newest - old.asked_at <= MAX_SAMPLE_SPAN);
+        }
+        if self.samples.len() > MAX_SAMPLES {
+            self.thin_out();
+        }
+    }
+
+    /// Removes the sample whose gap is smallest in proportion to its age.
+    ///
+    /// This keeps the error of an age below a fixed part of the age, over the whole span.
+    fn thin_out(&mut self) {
+        let newest = self.samples[self.samples.len() - 1].asked_at;
+        let relative_gap = |i: usize| {
+            let gap = self.samples[i + 1].asked_at - self.samples[i - 1].asked_at;
+            let age = newest - self.samples[i].asked_at + Duration::from_micros(1);
+            gap.as_secs_f64() / age.as_secs_f64()
+        };
+        let least = (1..self.samples.len() - 1)
+            .map(|i| (i, relative_gap(i)))
+            .min_by(|a, b| a.1.total_cmp(&b.1));
+        if let Some((i, _)) = least {
+            self.samples.remove(i);
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/tracker.rs
@@ -0,0 +1,386 @@
+//! Freshness of positions and lag of replicas, as one observer sees them.
+//!
+//! Bounds. A primary that was asked at time s and reported position P had every write that was
+//! committed before s, if it had not been replaced by then. A majority of targets without a higher
+//! promise in answers to calls begun at time e shows that it had not been replaced at e. So every log
+//! that holds P has all writes committed before min(s, e). Both times are of the observer's clock. If
+//! samples or checks stop, bounds grow; removing any of them only makes bounds larger.
+//!
+//! Terms. A log holds a position of its own term if it reaches as far, and a position of an earlier
+//! term if the history contains both. Samples that the newest history does not contain are removed.
+//!
+//! Estimates. The lag of a replica is the time from the primary's reaching a position to the
+//! replica's having it. The time at which the primary reached a position is interpolated between
+//! samples. Estimates are used for routes only, never for bounds.
+
+use std::time::Duration;
+
+use heatherhollow_session::PositionCheck;
+use heatherhollow_session::ReadRequirement;
+use heatherhollow_session::check_position;
+use heatherhollow_types::GroupPosition;
+use heatherhollow_types::LogPosition;
+use heatherhollow_types::MonoTime;
+use heatherhollow_types::TargetIndex;
+use heatherhollow_types::TermHistory;
+use heatherhollow_types::TermNumber;
+
+use crate::samples::PrimarySample;
+use crate::samples::SampleList;
+
+/// Greatest number of terms with checks that are kept; samples of lower terms are removed.
+const MAX_CHECKED_TERMS: usize = 8;
+
+/// Age of a replica's last answer beyond which its lag is unknown.
+const LAG_LIFETIME: Duration = Duration::from_secs(5);
+
+/// Least wait for a replica that should have had a position at its last answer but had not.
+const MIN_LATE_WAIT: Duration = Duration::from_millis(1);
+
+/// Smoothed lag of a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LagEstimate {
+    /// Smoothed lag.
+    pub mean: Duration,
+    /// Smoothed distance of measured values from the mean.
+    pub deviation: Duration,
+}
+
+impl LagEstimate {
+    /// The lag that most records do not exceed.
+    pub fn bound(&self) -> Duration {
+        self.mean + self.deviation
+    }
+
+    fn first(lag: Duration) -> Self {
+        Self {
+            mean: lag,
+            deviation: lag / 4,
+        }
+    }
+
+    /// Moves the mean by 1/8 and the deviation by 1/4 of the difference, the weights of RFC 6298.
+    fn update(&mut self, lag: Duration) {
+        let distance = self.mean.abs_diff(lag);
+        self.deviation = (self.deviation * 3 + distance) / 4;
+        self.mean = (self.mean * 7 + lag) / 8;
+    }
+}
+
+/// What one answer says of the lag of a replica.
+enum LagMeasure {
+    About(Duration),
+    AtMost(Duration),
+    AtLeast(Duration),
+}
+
+#[derive(Debug, Clone)]
+struct ReplicaState {
+    position: GroupPosition,
+    answered_at: MonoTime,
+    lag: Option<LagEstimate>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct TermCheck {
+    term: TermNumber,
+    asked_at: MonoTime,
+}
+
+/// Observations of one group by one observer.
+///
+/// ```
+/// use std::time::Duration;
+/// use heatherhollow_routing::FreshnessTracker;
+/// use heatherhollow_types::{GroupPosition, MonoTime, TermNumber};
+/// let mut tracker = FreshnessTracker::default();
+/// tracker.observe_primary(MonoTime::from_millis(10), TermNumber(1), GroupPosition::new(1, 50));
+/// let now = MonoTime::from_millis(30);
+/// assert_eq!(tracker.age_bound(GroupPosition::new(1, 50), now), None);
+/// tracker.observe_term_check(MonoTime::from_millis(12), TermNumber(1));
+/// let age = tracker.age_bound(GroupPosition::new(1, 50), now);
+/// assert_eq!(age, Some(Duration::from_millis(20)));
+/// assert_eq!(tracker.age_bound(GroupPosition::new(1, 49), now), None);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct FreshnessTracker {
+    samples: SampleList,
+    checks: Vec<TermCheck>, // sorted by term
+    history: TermHistory,
+    replicas: Vec<Option<ReplicaState>>, // by target index
+}
+
+impl FreshnessTracker {
+    /// Records the log end that the primary of `term` reported when asked at `asked_at`.
+    pub fn observe_primary(
+        &mut self,
+        asked_at: MonoTime,
+        term: TermNumber,
+        position: GroupPosition,
+    ) {
+        if self.is_in_history(position) {
+            self.samples.insert(PrimarySample {
+                asked_at,
+                term,
+                position,
+            });
+        }
+    }
+
+    /// Records that a majority of the group's targets, asked at `asked_at` or later, had not promised
+    /// a term above `term`.
+    ///
+    /// Without such checks no position has a bound.
+    pub fn observe_term_check(&mut self, asked_at: MonoTime, term: TermNumber) {
+        match self.checks.binary_search_by_key(&term, |check| check.term) {
+            Ok(i) => self.checks[i].asked_at = self.checks[i].asked_at.max(asked_at),
+            Err(i) => self.checks.insert(i, TermCheck { term, asked_at }),
+        }
+        if self.checks.len() > MAX_CHECKED_TERMS {
+            self.checks.remove(0);
+            let lowest = self.checks[0].term;
+            self.samples.retain(|sample| sample.term >= lowest);
+        }
+    }
+
+    /// Records the term history of a target; the one with the highest last term is kept.
+    pub fn observe_history(&mut self, history: &TermHistory) {
+        if history.last_term() <= self.history.last_term() {
+            return;
+        }
+        self.history = history.clone();
+        let mut samples = std::mem::take(&mut self.samples);
+        samples.retain(|sample| self.is_in_history(sample.position));
+        self.samples = samples;
+    }
+
+    /// Records the applied position that a replica reported in an answer received at `answered_at`.
+    pub fn observe_replica(
+        &mut self,
+        target: TargetIndex,
+        answered_at: MonoTime,
+        position: GroupPosition,
+    ) {
+        let measure = self
+            .is_in_history(position)
+            .then(|| self.measure_lag(answered_at, position))
+            .flatten();
+        let i = target.as_usize();
+        if self.replicas.len() <= i {
+            self.replicas.resize(i + 1, None);
+        }
+        let state = self.replicas[i].get_or_insert(ReplicaState {
+            position,
+            answered_at,
+            lag: None,
+        });
+        if answered_at < state.answered_at {
+            return;
+        }
+        state.position = position;
+        state.answered_at = answered_at;
+        state.lag = match (state.lag, measure) {
+            (Some(mut lag), Some(LagMeasure::About(value))) => {
+                lag.update(value);
+                Some(lag)
+            }
+            (Some(mut lag), Some(LagMeasure::AtMost(value))) if value < lag.mean => {
+                lag.update(value);
+                Some(lag)
+            }
+            (Some(mut lag), Some(LagMeasure::AtLeast(value))) if value > lag.mean => {
+                lag.update(value);
+                Some(lag)
+            }
+            (None, Some(LagMeasure::About(value))) => Some(LagEstimate::first(value)),
+            (None, Some(LagMeasure::AtMost(value))) => Some(LagEstimate::first(value / 2)),
+            (lag, _) => lag,
+        };
+    }
+
+    /// Forgets a target that left the group.
+    pub fn forget_replica(&mut self, target: TargetIndex) {
+        if let Some(state) = self.replicas.get_mut(target.as_usize()) {
+            *state = None;
+        }
+    }
+
+    /// Greatest age of a state with this position; `None` if it is unknown.
+    ///
+    /// The age of a state is the time since the first committed write that it does not have.
+    pub fn age_bound(&self, position: GroupPosition, now: MonoTime) -> Option<Duration> {
+        self.complete_until(position).map(|time| now - time)
+    }
+
+    /// Latest time before which every committed write is known to be in a log with this position.
+    pub fn complete_until(&self, position: GroupPosition) -> Option<MonoTime> {
+        if !self.is_in_history(position) {
+            return None;
+        }
+        self.latest_proof(|sample| self.holds(position, sample.position))
+    }
+
+    /// Latest time at which the primary of `term` is known not to have been replaced.
+    pub fn last_term_check(&self, term: TermNumber) -> Option<MonoTime> {
+        let i = self.checks.binary_search_by_key(&term, |check| check.term);
+        i.ok().map(|i| self.checks[i].asked_at)
+    }
+
+    /// Expected time until the target has the position; `None` if it is unknown.
+    ///
+    /// Zero means that the target has it, or is expected to.
+    pub fn expected_wait(
+        &self,
+        target: TargetIndex,
+        need: GroupPosition,
+        now: MonoTime,
+    ) -> Option<Duration> {
+        let state = self.replica(target)?;
+        if self.is_lost(need) || !self.is_in_history(state.position) {
+            return None;
+        }
+        if self.holds(state.position, need) {
+            return Some(Duration::ZERO);
+        }
+        let lag = self.recent_lag(state, now)?;
+        let due = self.reached_at(need).unwrap_or(now) + lag.bound();
+        if state.answered_at < due {
+            return Some(due - now);
+        }
+        // A record that is late by some time is expected to take about as long again.
+        let late = state.answered_at - due;
+        Some(late.max(lag.deviation).max(MIN_LATE_WAIT))
+    }
+
+    /// Expected bound of the age of an answer that the target would give now.
+    pub fn expected_age(&self, target: TargetIndex, now: MonoTime) -> Option<Duration> {
+        let state = self.replica(target)?;
+        if !self.is_in_history(state.position) {
+            return None;
+        }
+        let known = self.age_bound(state.position, now);
+        let estimated = self.recent_lag(state, now).and_then(|lag| {
+            let time = self.latest_proof(|sample| sample.asked_at + lag.bound() <= now)?;
+            Some(now - time)
+        });
+        match (known, estimated) {
+            (Some(known), Some(estimated)) => Some(known.min(estimated)),
+            (known, estimated) => known.or(estimated),
+        }
+    }
+
+    /// Lowest age bound of the last answers of all replicas.
+    pub fn best_age(&self, now: MonoTime) -> Option<Duration> {
+        self.replicas
+            .iter()
+            .flatten()
+            .filter_map(|state| self.age_bound(state.position, now))
+            .min()
+    }
+
+    /// The lag of a replica, if it is known.
+    pub fn lag(&self, target: TargetIndex, now: MonoTime) -> Option<LagEstimate> {
+        self.recent_lag(self.replica(target)?, now)
+    }
+
+    /// Whether the newest known history does not contain the position, so that it is never reached.
+    pub fn is_lost(&self, need: GroupPosition) -> bool {
+        let requirement = ReadRequirement::AtLeast(need);
+        check_position(&self.history, GroupPosition::default(), requirement) == PositionCheck::Lost
+    }
+
+    /// Whether a log that reaches `position` is known to have `wanted`.
+    pub fn holds(&self, position: GroupPosition, wanted: GroupPosition) -> bool {
+        if wanted.position == LogPosition(0) || position.term == wanted.term {
+            return position.position >= wanted.position;
+        }
+        position.term > wanted.term
+            && self.history.contains(position)
+            && self.history.contains(wanted)
+    }
+
+    /// Whether a position can be part of the group's log as far as it is known.
+    pub(crate) fn is_in_history(&self, position: GroupPosition) -> bool {
+        match self.history.last_term() {
+            Some(last) if position.term <= last => self.history.contains(position),
+            _ => true,
+        }
+    }
+
+    fn replica(&self, target: TargetIndex) -> Option<&ReplicaState> {
+        self.replicas.get(target.as_usize())?.as_ref()
+    }
+
+    fn recent_lag(&self, state: &ReplicaState, now: MonoTime) -> Option<LagEstimate> {
+        state
+            .lag
+            .filter(|_| now - state.answered_at <= LAG_LIFETIME)
+    }
+
+    /// Latest time that the chosen samples prove.
+    fn latest_proof(&self, is_chosen: impl Fn(&PrimarySample) -> bool) -> Option<MonoTime> {
+        let mut best = None;
+        for sample in self.samples.as_slice().iter().rev() {
+            if best.is_some_and(|best| best >= sample.asked_at) {
+                break;
+            }
+            if is_chosen(sample)
+                && let Some(check) = self.last_term_check(sample.term)
+            {
+                best = best.max(Some(check.min(sample.asked_at)));
+            }
+        }
+        best
+    }
+
+    /// Estimated time at which the primary reached the position; `None` if no sample has it yet.
+    fn reached_at(&self, position: GroupPosition) -> Option<MonoTime> {
+        let samples = self.samples.as_slice();
+        let i = samples
+            .iter()
+            .position(|sample| self.holds(sample.position, position))?;
+        match i.checked_sub(1) {
+            Some(before) => Some(interpolate(&samples[before], &samples[i], position)),
+            None => Some(samples[i].asked_at),
+        }
+    }
+
+    fn measure_lag(&self, answered_at: MonoTime, position: GroupPosition) -> Option<LagMeasure> {
+        let samples = self.samples.as_slice();
+        let held = samples
+            .iter()
+            .rposition(|sample| self.holds(position, sample.position));
+        match held {
+            None => {
+                let oldest = samples.first()?;
+                Some(LagMeasure::AtLeast(answered_at - oldest.asked_at))
+            }
+            Some(i) if i + 1 == samples.len() => {
+                Some(LagMeasure::AtMost(answered_at - samples[i].asked_at))
+            }
+            Some(i) => {
+                let time = interpolate(&samples[i], &samples[i + 1], position);
+                Some(LagMeasure::About(answered_at - time))
+            }
+        }
+    }
+}
+
+/// Time at which the primary passed a position between two samples; the earlier one across terms.
+fn interpolate(from: &PrimarySample, to: &PrimarySample, position: GroupPosition) -> MonoTime {
+    let is_same_term = from.position.term == position.term && to.position.term == position.term;
+    if !is_same_term {
+        return from.asked_at;
+    }
+    let whole = to
+        .position
+        .position
+        .0
+        .saturating_sub(from.position.position.0);
+    let part = position.position.0.saturating_sub(from.position.position.0);
+    if whole == 0 {
+        return from.asked_at;
+    }
+    let share = (part as f64 / whole as f64).min(1.0);
+    from.asked_at + (to.asked_at - from.asked_at).mul_f64(share)
+}
--- /dev/null
+++ b/crates/routing/tests/route.rs
@@ -0,0 +1,232 @@
+//! Choice of targets: waiting for replicas, the share of the primary, and targets out of use.
+
+mod support;
+
+use std::time::Duration;
+
+use heatherhollow_routing::FreshnessTracker;
+use heatherhollow_routing::RouteChoice;
+use heatherhollow_routing::RouteMode;
+use heatherhollow_routing::RoutePolicy;
+use heatherhollow_routing::RouteQuery;
+use heatherhollow_routing::TargetView;
+use heatherhollow_routing::choose_after_wait;
+use heatherhollow_routing::choose_route;
+use heatherhollow_session::ReadRequirement;
+use heatherhollow_types::GroupPosition;
+use heatherhollow_types::RefusalReason;
+use heatherhollow_types::TargetIndex;
+use heatherhollow_types::TermNumber;
+
+use support::assert_caught;
+use support::assert_holds;
+use support::at;
+use support::ms;
+use support::view;
+
+const NOW: u64 = 12_345;
+const PRIMARY: TargetIndex = TargetIndex(0);
+
+/// Observations up to `NOW` of a group that writes one record a millisecond, with two replicas that
+/// lag by `lag` milliseconds. The position of a record is the time of its write.
+fn tracker_with_lag(lag: u64) -> FreshnessTracker {
+    let mut tracker = FreshnessTracker::default();
+    for time in (0..=NOW).step_by(100) {
+        tracker.observe_primary(at(time), TermNumber(1), GroupPosition::new(1, time));
+        for (i, polled_at) in [time + 20, time + 40].into_iter().enumerate() {
+            let position = GroupPosition::new(1, polled_at.saturating_sub(lag));
+            tracker.observe_replica(TargetIndex(i as u16 + 1), at(polled_at), position);
+        }
+        tracker.observe_term_check(at(time), TermNumber(1));
+    }
+    tracker
+}
+
+/// A read right after a write of the same session.
+fn query_after_write(max_age: Duration) -> RouteQuery {
+    RouteQuery {
+        requirement: ReadRequirement::AtLeast(GroupPosition::new(1, NOW)),
+        max_age,
+        max_wait: ms(250),
+        deadline: at(NOW + 2_000),
+    }
+}
+
+fn route(query: &RouteQuery, lag: u64, mode: RouteMode) -> RouteChoice {
+    let policy = RoutePolicy {
+        mode,
+        ..RoutePolicy::default()
+    };
+    let views = [view(0), view(1), view(2)];
+    choose_route(query, &views, &tracker_with_lag(lag), &policy, at(NOW))
+}
+
+fn waits_for_replica(lag: u8, mode: RouteMode) -> bool {
+    let query = query_after_write(ms(1_000));
+    match route(&query, u64::from(lag) % 120, mode) {
+        RouteChoice::Go(target) => target != PRIMARY,
+        RouteChoice::WaitFor {
+            target,
+            until,
+            fallback,
+        } => target != PRIMARY && until <= at(NOW + 250) && fallback == Some(PRIMARY),
+        RouteChoice::Refuse { .. } => false,
+    }
+}
+
+/// Guards against reads after a write that go to the primary although a replica has the write soon.
+#[test]
+fn read_after_write_waits_for_a_replica() {
+    assert_holds((|lag| waits_for_replica(lag, RouteMode::LowestCost)) as fn(_) -> _);
+    assert_caught((|lag| waits_for_replica(lag, RouteMode::NearestFresh)) as fn(_) -> _);
+    assert_caught((|lag| waits_for_replica(lag, RouteMode::PrimaryAfterWrite)) as fn(_) -> _);
+}
+
+/// Guards against a wait that costs the caller more than the primary does.
+#[test]
+fn long_waits_go_to_the_primary() {
+    let aged = query_after_write(ms(1_000));
+    let fresh = query_after_write(ms(900));
+    let mode = RouteMode::LowestCost;
+    assert_eq!(route(&aged, 240, mode), RouteChoice::Go(PRIMARY));
+    assert_eq!(route(&fresh, 120, mode), RouteChoice::Go(PRIMARY));
+    assert_ne!(route(&fresh, 20, mode), RouteChoice::Go(PRIMARY));
+    let present = RouteQuery {
+        max_age: Duration::ZERO,
+        requirement: ReadRequirement::None,
+        ..aged
+    };
+    assert_eq!(route(&present, 0, mode), RouteChoice::Go(PRIMARY));
+}
+
+/// Reads that come and end in random order while all replicas lag by 2 s; `slots` at the primary.
+fn share_is_kept(steps: Vec<(u8, u8)>, slots: u8, counts_reads: bool) -> bool {
+    let policy = RoutePolicy::default();
+    let tracker = tracker_with_lag(2_000);
+    let slots = u32::from(slots) % 40 + 1;
+    let mut running = 0;
+    steps.into_iter().all(|(kind, wait)| {
+        if kind % 3 == 0 {
+            running = u32::saturating_sub(running, 1);
+            return true;
+        }
+        let primary = TargetView {
+            slots,
+            in_flight: running,
+            // The broken variant does not count reads.
+            reads_in_flight: if counts_reads { running } else { 0 },
+            ..view(0)
+        };
+        let query = RouteQuery {
+            max_wait: ms(u64::from(wait)),
+            max_age: ms(u64::from(wait) * 20 + 1),
+            ..query_after_write(ms(1_000))
+        };
+        let views = [primary, view(1), view(2)];
+        match choose_route(&query, &views, &tracker, &policy, at(NOW)) {
+            RouteChoice::Go(PRIMARY) => running += 1,
+            RouteChoice::Refuse { reason, .. } => {
+                return reason == RefusalReason::ReplicasLagging && running > 0;
+            }
+            _ => return false,
+        }
+        running <= (slots / 4).max(1)
+    })
+}
+
+/// Guards against reads that take the primary's slots from writes when all replicas lag.
+#[test]
+fn lagging_replicas_move_only_a_share_to_the_primary() {
+    assert_holds((|steps, slots| share_is_kept(steps, slots, true)) as fn(_, _) -> _);
+    assert_caught((|steps, slots| share_is_kept(steps, slots, false)) as fn(_, _) -> _);
+}
+
+/// Random states of targets; the broken variant hides that they are out of use.
+fn avoids_unusable(states: Vec<(u8, u8)>, lag: u8, hides_state: bool) -> bool {
+    let views = states
+        .iter()
+        .take(5)
+        .enumerate()
+        .map(|(i, &(flags, busy))| TargetView {
+            is_leaving: flags & 3 == 0,
+            is_suspected: flags & 12 == 0,
+            is_remote: flags & 16 == 0,
+            slots: u32::from(flags >> 5),
+            in_flight: u32::from(busy),
+            ..view(i as u16)
+        })
+        .collect::<Vec<_>>();
+    let seen = views.iter().cloned().map(|view| TargetView {
+        is_leaving: view.is_leaving && !hides_state,
+        is_suspected: view.is_suspected && !hides_state,
+        ..view
+    });
+    let seen = seen.collect::<Vec<_>>();
+    let is_usable = |target: TargetIndex| {
+        let view = &views[target.as_usize()];
+        !view.is_leaving && !view.is_suspected && view.slots > 0
+    };
+    let policy = RoutePolicy::default();
+    let tracker = tracker_with_lag(u64::from(lag));
+    let limits = policy.min_retry_after..=policy.max_retry_after;
+    [ms(0), ms(100), ms(1_000)].into_iter().all(|max_age| {
+        let query = query_after_write(max_age);
+        let choices = [choose_route, choose_after_wait]
+            .map(|choose| choose(&query, &seen, &tracker, &policy, at(NOW)));
+        let is_wait = matches!(choices[1], RouteChoice::WaitFor { .. });
+        !is_wait
+            && choices.into_iter().all(|choice| match choice {
+                RouteChoice::Go(target) => is_usable(target),
+                RouteChoice::WaitFor {
+                    target, fallback, ..
+                } => is_usable(target) && fallback.is_none_or(is_usable),
+                RouteChoice::Refuse { retry_after, .. } => limits.contains(&retry_after),
+            })
+    })
+}
+
+/// Guards against new work for targets that are leaving or suspected.
+#[test]
+fn unusable_targets_get_no_reads() {
+    assert_holds((|states, lag| avoids_unusable(states, lag, false)) as fn(_, _) -> _);
+    assert_caught((|states, lag| avoids_unusable(states, lag, true)) as fn(_, _) -> _);
+}
+
+/// Guards against a refusal whose reason sends its reader to the wrong fault.
+#[test]
+fn refusals_name_their_reason() {
+    let choose = |views: &[TargetView], query: &RouteQuery, lag: u64| {
+        let policy = RoutePolicy::default();
+        let tracker = tracker_with_lag(lag);
+        match choose_route(query, views, &tracker, &policy, at(NOW)) {
+            RouteChoice::Refuse { reason, .. } => Some(reason),
+            _ => None,
+        }
+    };
+    let query = query_after_write(ms(1_000));
+    let any = RouteQuery {
+        requirement: ReadRequirement::None,
+        ..query
+    };
+    let present = query_after_write(Duration::ZERO);
+    let past = RouteQuery {
+        deadline: at(NOW),
+        ..query
+    };
+    let busy = TargetView {
+        in_flight: 10_000,
+        ..view(0)
+    };
+    let reason = choose(&[], &query, 0);
+    assert_eq!(reason, Some(RefusalReason::Unreachable));
+    let reason = choose(&[view(1)], &present, 0);
+    assert_eq!(reason, Some(RefusalReason::NoPrimary));
+    let reason = choose(&[view(1)], &any, 3_000);
+    assert_eq!(reason, Some(RefusalReason::TooOld));
+    let reason = choose(&[view(1)], &query, 900);
+    assert_eq!(reason, Some(RefusalReason::ReplicasLagging));
+    let reason = choose(&[busy], &query, 0);
+    assert_eq!(reason, Some(RefusalReason::Overloaded));
+    let reason = choose(&[view(0)], &past, 0);
+    assert_eq!(reason, Some(RefusalReason::DeadlinePassed));
+}
--- /dev/null
+++ b/crates/routing/tests/session.rs
@@ -0,0 +1,256 @@
+//! Reads of a session over random interleavings of writes, replication, promotions, routes and late
+//! observations.
+
+mod support;
+
+use std::time::Duration;
+
+use heatherhollow_routing::AnswerCheck;
+use heatherhollow_routing::AnswerHead;
+use heatherhollow_routing::RouteChoice;
+use heatherhollow_routing::RoutePolicy;
+use heatherhollow_routing::RouteQuery;
+use heatherhollow_routing::TargetView;
+use heatherhollow_routing::check_answer;
+use heatherhollow_routing::choose_route;
+use heatherhollow_session::ReadRequirement;
+use heatherhollow_session::SessionToken;
+use heatherhollow_types::GroupName;
+use heatherhollow_types::GroupPosition;
+use heatherhollow_types::TermNumber;
+
+use support::assert_caught;
+use support::assert_holds;
+use support::group::RealObserver;
+use support::group::SimGroup;
+use support::group::WriteRecord;
+use support::ms;
+use support::view;
+
+/// Parts of the read path; broken ones replace them.
+trait ReadRule {
+    const RECORDS_UNKNOWN: bool = true;
+    fn check(
+        group: &SimGroup,
+        head: &AnswerHead,
+        need: ReadRequirement,
+        max_age: Duration,
+    ) -> AnswerCheck {
+        check_answer(head, need, max_age, &group.tracker, group.now)
+    }
+}
+
+struct RealRead;
+
+impl ReadRule for RealRead {}
+
+/// Broken: trusts the route and checks the age alone.
+struct AgeOnly;
+
+impl ReadRule for AgeOnly {
+    fn check(
+        group: &SimGroup,
+        head: &AnswerHead,
+        _: ReadRequirement,
+        max_age: Duration,
+    ) -> AnswerCheck {
+        check_answer(
+            head,
+            ReadRequirement::None,
+            max_age,
+            &group.tracker,
+            group.now,
+        )
+    }
+}
+
+/// Broken: takes the answer of any target that was a primary for the present state.
+struct AnyPrimary;
+
+impl ReadRule for AnyPrimary {
+    fn check(
+        group: &SimGroup,
+        head: &AnswerHead,
+        need: ReadRequirement,
+        max_age: Duration,
+    ) -> AnswerCheck {
+        if head.primary_term.is_some() {
+            return AnswerCheck::Good { age_bound: ms(0) };
+        }
+        check_answer(head, need, max_age, &group.tracker, group.now)
+    }
+}
+
+/// Broken: forgets writes of unknown outcome.
+struct NoUnknown;
+
+impl ReadRule for NoUnknown {
+    const RECORDS_UNKNOWN: bool = false;
+}
+
+/// A read on its way.
+struct OpenRead {
+    target: usize,
+    head: AnswerHead,
+    need: ReadRequirement,
+    max_age: Duration,
+    /// Writes of the session that the answer has to show.
+    wanted: Vec<WriteRecord>,
+    shown: Option<Vec<WriteRecord>>,
+}
+
+struct SimSession {
+    name: GroupName,
+    token: SessionToken,
+    /// Writes without an outcome yet, with their positions.
+    pending: Vec<(WriteRecord, GroupPosition)>,
+    /// Acknowledged writes.
+    done: Vec<WriteRecord>,
+    /// Writes that were answered as unknown.
+    unknown: Vec<WriteRecord>,
+    reads: Vec<OpenRead>,
+}
+
+impl SimSession {
+    fn write(&mut self, group: &mut SimGroup) {
+        let target = group.known_primary.0;
+        if let Some(record) = group.write(target) {
+            self.pending
+                .push((record, group.targets[target].position()));
+        }
+    }
+
+    fn take_outcomes(&mut self, group: &SimGroup) {
+        for (record, position) in std::mem::take(&mut self.pending) {
+            if group.committed[record.1].is_some() {
+                self.token.record_write(&self.name, position);
+                self.done.push(record);
+            } else {
+                self.pending.push((record, position));
+            }
+        }
+    }
+
+    fn give_up<R: ReadRule>(&mut self) {
+        for (record, _) in self.pending.drain(..) {
+            if R::RECORDS_UNKNOWN {
+                self.token.record_unknown(&self.name, TermNumber(record.0));
+            }
+            self.unknown.push(record);
+        }
+    }
+
+    fn read(&mut self, group: &SimGroup, max_age: Duration) {
+        let (primary, term) = group.known_primary;
+        let views = (0..3)
+            .map(|i| TargetView {
+                is_primary: usize::from(i) == primary,
+                ..view(i)
+            })
+            .collect::<Vec<_>>();
+        let query = RouteQuery {
+            requirement: self.token.requirement(&self.name),
+            max_age,
+            max_wait: ms(250),
+            deadline: group.now + ms(1_000),
+        };
+        let policy = RoutePolicy::default();
+        let target = match choose_route(&query, &views, &group.tracker, &policy, group.now) {
+            RouteChoice::Go(target) | RouteChoice::WaitFor { target, .. } => target.as_usize(),
+            RouteChoice::Refuse { .. } => return,
+        };
+        let primary_log = &group.targets[group.true_primary()].log;
+        let survivors = self
+            .unknown
+            .iter()
+            .filter(|&record| primary_log.contains(record));
+        self.reads.push(OpenRead {
+            target,
+            head: AnswerHead {
+                position: GroupPosition::default(),
+                asked_at: group.now,
+                primary_term: (target == primary).then_some(TermNumber(term)),
+            },
+            need: query.requirement,
+            max_age,
+            wanted: self.done.iter().chain(survivors).copied().collect(),
+            shown: None,
+        });
+    }
+
+    fn serve(&mut self, group: &SimGroup) {
+        for read in &mut self.reads {
+            let target = &group.targets[read.target];
+            if read.shown.is_none() {
+                read.shown = Some(target.log.clone());
+                read.head.position = target.position();
+            }
+        }
+    }
+
+    /// Checks the answers that have arrived; returns whether those passed on are right.
+    fn finish<R: ReadRule>(&mut self, group: &SimGroup) -> bool {
+        let mut is_right = true;
+        for read in std::mem::take(&mut self.reads) {
+            let Some(shown) = &read.shown else {
+                self.reads.push(read);
+                continue;
+            };
+            match R::check(group, &read.head, read.need, read.max_age) {
+                AnswerCheck::Good { age_bound } => {
+                    is_right &= read.wanted.iter().all(|record| shown.contains(record));
+                    let limit = age_bound.min(read.max_age.max(group.now - read.head.asked_at));
+                    is_right &= group
+                        .first_missing(shown)
+                        .is_none_or(|time| group.now - time <= limit);
+                    if read.head.primary_term.is_some() {
+                        self.token.observe_primary(&self.name, read.head.position);
+                    }
+                }
+                AnswerCheck::Lost => {
+                    if let ReadRequirement::AtLeast(lost) = read.need {
+                        self.token.record_lost(&self.name, lost);
+                    }
+                }
+                // The caller repeats a term check and tries again.
+                AnswerCheck::TooOld => self.reads.push(read),
+                AnswerCheck::Behind => {}
+            }
+        }
+        is_right
+    }
+}
+
+fn session_sees_its_writes<R: ReadRule>(steps: Vec<(u8, u8)>) -> bool {
+    let mut group = SimGroup::new();
+    let mut session = SimSession {
+        name: "willow-ledger".parse().unwrap(),
+        token: SessionToken::default(),
+        pending: Vec::new(),
+        done: Vec::new(),
+        unknown: Vec::new(),
+        reads: Vec::new(),
+    };
+    steps.into_iter().all(|(kind, pick)| {
+        match kind {
+            0..=15 => session.write(&mut group),
+            16..=31 => session.give_up::<R>(),
+            32..=63 => session.read(&group, ms([0, 20, 1_000][usize::from(pick) % 3])),
+            64..=95 => session.serve(&group),
+            96..=127 => return session.finish::<R>(&group),
+            _ => group.step::<RealObserver>(kind, pick),
+        }
+        session.take_outcomes(&group);
+        true
+    })
+}
+
+/// Guards against an answer that lacks a write of its own session, or is older than its bound or than
+/// its kind of read allows.
+#[test]
+fn session_reads_its_own_writes() {
+    assert_holds(session_sees_its_writes::<RealRead> as fn(_) -> _);
+    assert_caught(session_sees_its_writes::<AgeOnly> as fn(_) -> _);
+    assert_caught(session_sees_its_writes::<AnyPrimary> as fn(_) -> _);
+    assert_caught(session_sees_its_writes::<NoUnknown> as fn(_) -> _);
+}
--- /dev/null
+++ b/crates/session/src/token.rs
@@ -0,0 +1,250 @@
+//! Content of a session token, and its merge.
+//!
+//! An entry has the newest position that the session wrote to a group, and the term of its latest
+//! uncertain write, if there is one. While an entry has such a mark, reads go to the primary.
+//!
+//! Merge rule. For each group the merged entry has the higher position and the higher mark of the
+//! two, each on its own. A mark is dropped only if the position is of a later term than the mark: a
+//! log that holds a record of a later term either contains the uncertain write or will never contain
+//! it, because a call names its term and primaries of later terms refuse it. A position of the same
+//! term does not replace a mark, since the uncertain write can lie behind it. So when one branch of
+//! a session has resolved its write and another still has the mark, the mark stays, and reads go to
+//! the primary.
+//!
+//! Limit rule. Of more than [`MAX_TOKEN_GROUPS`] entries, those with the smallest group names stay
+//! and the token is marked as overflowed. An overflowed token knows nothing of groups whose names
+//! come after its last entry; these count as uncertain, and merging or recording never adds them
+//! again. The choice depends on names alone because these do not change: with a choice by age or
+//! position, a dropped entry could return in an older state from another branch, which would lose a
+//! write of the session and make the result depend on the order of merges.
+
+use heatherhollow_types::GroupName;
+use heatherhollow_types::GroupPosition;
+use heatherhollow_types::LogPosition;
+use heatherhollow_types::TermNumber;
+
+/// Greatest number of groups in a token.
+pub const MAX_TOKEN_GROUPS: usize = 16;
+
+/// What a read of a group needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadRequirement {
+    /// Any state.
+    None,
+    /// A state that holds this position.
+    AtLeast(GroupPosition),
+    /// The state of the present primary.
+    Primary,
+}
+
+/// What a session knows of its writes to one group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TokenEntry {
+    /// The group.
+    pub group: GroupName,
+    /// Newest known position; the default value if there is none.
+    pub position: GroupPosition,
+    /// Latest term that has a write of unknown outcome.
+    pub uncertain: Option<TermNumber>,
+}
+
+impl TokenEntry {
+    pub(crate) fn is_canonical(&self) -> bool {
+        let has_position = self.position.position != LogPosition(0);
+        let is_mark_needed = self.uncertain.is_none_or(|term| term >= self.position.term);
+        let is_empty = !has_position && self.uncertain.is_none();
+        (has_position || self.position == GroupPosition::default()) && is_mark_needed && !is_empty
+    }
+
+    fn join(&mut self, position: GroupPosition, uncertain: Option<TermNumber>) {
+        self.position = self.position.max(position);
+        self.uncertain = self
+            .uncertain
+            .max(uncertain)
+            .filter(|&term| term >= self.position.term);
+    }
+}
+
+/// What a session knows of its writes, sorted by group.
+///
+/// ```
+/// use heatherhollow_session::{ReadRequirement, SessionToken};
+/// use heatherhollow_types::{GroupName, GroupPosition, TermNumber};
+/// let group: GroupName = "willow-ledger".parse().unwrap();
+/// let mut token = SessionToken::default();
+/// assert_eq!(token.requirement(&group), ReadRequirement::None);
+/// token.record_write(&group, GroupPosition::new(3, 95));
+/// assert_eq!(token.requirement(&group), ReadRequirement::AtLeast(GroupPosition::new(3, 95)));
+/// token.record_unknown(&group, TermNumber(3));
+/// assert_eq!(token.requirement(&group), ReadRequirement::Primary);
+/// token.record_write(&group, GroupPosition::new(4, 99));
+/// assert_eq!(token.requirement(&group), ReadRequirement::AtLeast(GroupPosition::new(4, 99)));
+/// ```
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SessionToken {
+    entries: Vec<TokenEntry>,
+    is_overflowed: bool,
+}
+
+impl SessionToken {
+    /// A token from its parts, if they are in the form that every operation leaves.
+    pub(crate) fn from_parts(entries: Vec<TokenEntry>, is_overflowed: bool) -> Option<Self> {
+        let is_sorted = entries.is_sorted_by(|a, b| a.group < b.group);
+        let is_canonical = is_sorted
+            && entries.len() <= MAX_TOKEN_GROUPS
+            && entries.iter().all(TokenEntry::is_canonical);
+        is_canonical.then_some(Self {
+            entries,
+            is_overflowed,
+        })
+    }
+
+    /// The entries, sorted by group.
+    pub fn entries(&self) -> &[TokenEntry] {
+        &self.entries
+    }
+
+    /// Whether entries were dropped because there were too many.
+    pub fn is_overflowed(&self) -> bool {
+        self.is_overflowed
+    }
+
+    /// Whether the token says nothing.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty() && !self.is_overflowed
+    }
+
+    /// What a read of the group needs.
+    pub fn requirement(&self, group: &GroupName) -> ReadRequirement {
+        match self.find(group) {
+            Ok(i) => {
+                let entry = &self.entries[i];
+                match entry.uncertain {
+                    Some(_) => ReadRequirement::Primary,
+                    None => ReadRequirement::AtLeast(entry.position),
+                }
+            }
+            Err(_) if self.is_overflowed => ReadRequirement::Primary,
+            Err(_) => ReadRequirement::None,
+        }
+    }
+
+    /// Joins the knowledge of two branches of a session, by the rules at the head of this module.
+    pub fn merge(&mut self, other: &Self) {
+        let mut merged = Self {
+            entries: Vec::with_capacity(self.entries.len() + other.entries.len()),
+            is_overflowed: self.is_overflowed || other.is_overflowed,
+        };
+        for entry in self.entries.iter().chain(&other.entries) {
+            if !self.covers(&entry.group) || !other.covers(&entry.group) {
+                continue;
+            }
+            match merged.find(&entry.group) {
+                Ok(i) => merged.entries[i].join(entry.position, entry.uncertain),
+                Err(i) => merged.entries.insert(i, entry.clone()),
+            }
+        }
+        merged.enforce_limit();
+        *self = merged;
+    }
+
+    /// Records an acknowledged write.
+    pub fn record_write(&mut self, group: &GroupName, position: GroupPosition) {
+        if position.position != LogPosition(0) {
+            self.join_entry(group, position, None);
+        }
+    }
+
+    /// Records a write of unknown outcome that was sent to the primary of a term.
+    pub fn record_unknown(&mut self, group: &GroupName, term: TermNumber) {
+        self.join_entry(group, GroupPosition::default(), Some(term));
+    }
+
+    /// Records that the uncertain writes of the group are resolved up to the term of `position`.
+    ///
+    /// `position` has to cover all of them. If the session may have more than one, this is a position
+    /// that the primary reported after the last of them was resolved, not the position of one write. A
+    /// mark of a later term stays.
+    pub fn clear_unknown(&mut self, group: &GroupName, position: GroupPosition) {
+        if let Ok(i) = self.find(group) {
+            let entry = &mut self.entries[i];
+            entry.uncertain = entry.uncertain.filter(|&term| term > position.term);
+            if position.position == LogPosition(0) && !entry.is_canonical() {
+                self.entries.remove(i);
+            }
+        }
+        self.record_write(group, position);
+    }
+
+    /// Uses a read at the primary to replace a mark of an earlier term by a position.
+    ///
+    /// `head` is the position of an answer of a primary that is known to have led the group when it
+    /// answered. Without a mark of an earlier term nothing changes.
+    pub fn observe_primary(&mut self, group: &GroupName, head: GroupPosition) {
+        if let Ok(i) = self.find(group)
+            && self.entries[i]
+                .uncertain
+                .is_some_and(|term| term < head.term)
+        {
+            self.record_write(group, head);
+        }
+    }
+
+    /// Records that a position was lost in a promotion.
+    ///
+    /// The position is replaced by a mark of its term. Earlier writes of the session, whose positions
+    /// the token no longer has, may have survived; the primary shows them.
+    pub fn record_lost(&mut self, group: &GroupName, lost: GroupPosition) {
+        if let Ok(i) = self.find(group)
+            && self.entries[i].position == lost
+        {
+            self.entries[i].position = GroupPosition::default();
+            self.join_entry(group, GroupPosition::default(), Some(lost.term));
+        }
+    }
+
+    /// Drops the entries of groups that are not declared any more.
+    ///
+    /// Only an instance that has settings may call it.
+    pub fn retain_groups(&mut self, is_declared: impl Fn(&GroupName) -> bool) {
+        self.entries.retain(|entry| is_declared(&entry.group));
+    }
+
+    fn find(&self, group: &GroupName) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by(|entry| entry.group.cmp(group))
+    }
+
+    /// Whether a missing entry of the group means that there was none.
+    fn covers(&self, group: &GroupName) -> bool {
+        !self.is_overflowed || self.entries.last().is_some_and(|last| *group <= last.group)
+    }
+
+    fn join_entry(
+        &mut self,
+        group: &GroupName,
+        position: GroupPosition,
+        uncertain: Option<TermNumber>,
+    ) {
+        match self.find(group) {
+            Ok(i) => self.entries[i].join(position, uncertain),
+            Err(_) if !self.covers(group) => {}
+            Err(i) => {
+                let entry = TokenEntry {
+                    group: group.clone(),
+                    position,
+                    uncertain,
+                };
+                self.entries.insert(i, entry);
+                self.enforce_limit();
+            }
+        }
+    }
+
+    fn enforce_limit(&mut self) {
+        if self.entries.len() > MAX_TOKEN_GROUPS {
+            self.entries.truncate(MAX_TOKEN_GROUPS);
+            self.is_overflowed = true;
+        }
+    }
+}
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -50,6 +50,11 @@
     c.is_ascii_lowercase() || c.is_ascii_digit() || matches!(c, '-' | '_' | '.')
 }
 
+/// A team's name has no dot, since `TEAM.GROUP` names a group in tokens and control messages.
+fn is_team_char(c: char) -> bool {
+    c != '.' && is_name_char(c)
+}
+
 fn is_request_char(c: char) -> bool {
     c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.' | ':')
 }
@@ -109,7 +114,7 @@
     /// assert_eq!(team.to_string(), "yard-staff");
     /// assert!("Yard Staff".parse::<TeamName>().is_err());
     /// ```
-    TeamName, MAX_NAME_BYTES, is_name_char
+    TeamName, MAX_NAME_BYTES, is_team_char
 }
 name_type! {
     /// Name of a service, unique inside its team.
