--- a/crates/control/examples/slopes.rs
+++ b/crates/control/examples/slopes.rs
@@ -83,7 +83,7 @@
         self.line(&json!({"check": what, "value": value, "bound": bound, "kept": is_kept}));
         if !is_kept {
             self.failures
-                .push(format!("{what}: {value} passes the bound of {bound}"));
+                .push(format!("{what}: {value} exceeds the bound of {bound}"));
         }
     }
 }
@@ -124,11 +124,14 @@
     for &nodes in &sizes {
         full_mesh(&mut report, &Deployment::new(nodes));
     }
+    for &nodes in &sizes {
+        mass_start(&mut report, &Deployment::new(nodes));
+    }
     relay_changes(&mut report, &largest);
     assign_permits(&mut report, &largest);
     promotions(&mut report, &largest);
     for failure in report.failures.clone() {
-        report.text(&format!("BOUND PASSED {failure}"));
+        report.text(&format!("BOUND EXCEEDED {failure}"));
     }
     let text = report.lines.join("\n") + "\n";
     if let Err(error) = std::fs::write(&file, text) {
@@ -278,6 +281,16 @@
     .to_string()
 }
 
+/// Start of all instances at once, which the plan does not bound.
+fn mass_start(report: &mut Report, deployment: &Deployment) {
+    let result = slopes_run::run_mass_start(deployment);
+    report.line(&json!({
+        "measure": "start of all instances within 5 s", "nodes": deployment.nodes.len(),
+        "seconds_until_all_are_known": result.seconds,
+        "sent_bytes_mean": result.sent.mean, "sent_bytes_highest": result.sent.highest,
+    }));
+}
+
 /// Bytes of heartbeats between all pairs once a second, as the alternative to SWIM.
 fn full_mesh(report: &mut Report, deployment: &Deployment) {
     let mut bytes = 0_usize;
--- a/crates/control/examples/slopes/run.rs
+++ b/crates/control/examples/slopes/run.rs
@@ -159,10 +159,13 @@
 
 /// Runs a deployment for some virtual time after the warm-up; the nodes are returned with the figures.
 pub fn run_deployment(deployment: &Deployment, seconds: u64) -> (RunResult, Vec<Node>) {
+    // Small deployments are built several times, as the process grows in large steps.
+    let copies = (1_000 / deployment.nodes.len()).max(1);
     let before = resident_bytes();
-    let mut simulation = Simulation::new(deployment);
-    let memory_mb =
-        resident_bytes().saturating_sub(before) as f64 / deployment.nodes.len() as f64 / 1e6;
+    let mut simulations: Vec<_> = (0..copies).map(|_| Simulation::new(deployment)).collect();
+    let grown = resident_bytes().saturating_sub(before) as f64;
+    let memory_mb = grown / (copies * deployment.nodes.len()) as f64 / 1e6;
+    let mut simulation = simulations.swap_remove(0);
     simulation.advance(WARM_UP_SECONDS * 1_000_000);
     for node in &mut simulation.nodes {
         node.busy = Duration::ZERO;
@@ -171,9 +174,10 @@
     simulation.is_measuring = true;
     let end = (WARM_UP_SECONDS + seconds) * 1_000_000;
     let start = WARM_UP_SECONDS * 1_000_000;
-    // Four changes of settings, one failure and one restart: about the plan's rates in 240 s.
-    for change in 0..4 {
-        let at = start + change * seconds * 200_000;
+    // The plan's rate of changes of settings, besides one failure and one restart.
+    let changes = (seconds * CHANGES_A_DAY as u64).div_ceil(86_400);
+    for change in 0..changes {
+        let at = start + change * seconds * 800_000 / changes;
         simulation.push(at, Event::Change(change as usize));
     }
     let victim = simulation.killed;
@@ -188,7 +192,41 @@
         }
     }
     let result = simulation.result(seconds, memory_mb, gone_seconds);
-    (result, simulation.nodes)
+    let others = simulations.into_iter().flat_map(|other| other.nodes);
+    (result, simulation.nodes.into_iter().chain(others).collect())
+}
+
+/// Figures of a start of all instances within a few seconds, each with the instance list.
+pub struct StartResult {
+    /// Virtual time until every instance knows all others, or none if it did not come to that.
+    pub seconds: Option<f64>,
+    /// Bytes that an instance sent until then.
+    pub sent: Spread,
+}
+
+/// Starts all instances of a deployment within five seconds.
+pub fn run_mass_start(deployment: &Deployment) -> StartResult {
+    const LIMIT_SECONDS: u64 = 180;
+    let mut simulation = Simulation::new(deployment);
+    let count = deployment.nodes.len();
+    for i in 0..count {
+        simulation.nodes[i].is_up = false;
+        let at = mix_bits(i as u64 ^ 0xface) % START_MICROS;
+        simulation.push(at, Event::Restart(i));
+    }
+    let mut seconds = None;
+    while seconds.is_none() && simulation.now < LIMIT_SECONDS * 1_000_000 {
+        simulation.advance(simulation.now + 250_000);
+        let is_complete = |n: &Node| n.is_up && n.prober.view().len() == count;
+        if simulation.nodes.iter().all(is_complete) {
+            seconds = Some(simulation.now as f64 / 1e6);
+        }
+    }
+    let sent = simulation.nodes.iter().map(|n| n.sent[0] as f64);
+    StartResult {
+        seconds,
+        sent: Spread::of(sent),
+    }
 }
 
 impl<'d> Simulation<'d> {
@@ -477,17 +515,16 @@
         }
     }
 
-    /// A new run of an instance, which knows one other and reads the store.
+    /// A new run of an instance, which has read the instance list.
     fn restart(&mut self, i: usize) {
         let now = MonoTime::from_micros(self.now);
         let (name, centre) = &self.deployment.nodes[i];
         let own = MemberRecord::new(name.clone(), centre.clone(), Incarnation(1_790_000_100_000));
         let node = &mut self.nodes[i];
         node.prober = MemberProber::new(own, ProbeTiming::default(), now);
+        let names = self.deployment.nodes.iter().map(|(name, _)| name.clone());
+        node.prober.set_hints(names);
         node.is_up = true;
-        let seed = &self.deployment.nodes[(i + 1) % self.deployment.nodes.len()].0;
-        let send = node.prober.join(seed);
-        self.send_all(i, vec![send]);
     }
 
     fn is_gone_everywhere(&self) -> bool {
--- a/crates/control/src/check.rs
+++ b/crates/control/src/check.rs
@@ -24,8 +24,8 @@
 /// Most kinds of read of a service.
 pub const MAX_SERVICE_KINDS: usize = 64;
 
-/// Most data centres of the topology.
-pub const MAX_DATA_CENTRES: usize = 256;
+/// Most data centres of the topology; a message lists at most 200.
+pub const MAX_DATA_CENTRES: usize = 128;
 
 /// Fewest targets of a group that has a service with `acknowledge = "replicated"`; with two, a
 /// majority is both, and any failure stops writes.
@@ -52,6 +52,9 @@
 /// Range of `slots_per_target`.
 pub const SLOTS_RANGE: RangeInclusive<u16> = 1..=1_024;
 
+/// Range of one-way delays.
+pub const DELAY_RANGE_US: RangeInclusive<u64> = 0..=10_000_000;
+
 /// Longest part of a value that a fault repeats, in bytes.
 const MAX_VALUE_BYTES: usize = 120;
 
@@ -403,6 +406,7 @@
     }
     for (i, delay) in topology.delays.iter().enumerate() {
         let path = format!("{TOPOLOGY_PATH}/delays/{i}");
+        source.range(&path, "one_way_us", delay.one_way_us, &DELAY_RANGE_US);
         for (key, centre) in [("from", &delay.from), ("to", &delay.to)] {
             if topology.region_of(centre).is_none() {
                 let rule = "no region declares this data centre";
@@ -417,6 +421,6 @@
         ("to_callers_us", topology.to_callers_us),
     ];
     for (key, span) in spans {
-        source.range(TOPOLOGY_PATH, key, span, &(0..=10_000_000));
+        source.range(TOPOLOGY_PATH, key, span, &DELAY_RANGE_US);
     }
 }
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -19,14 +19,16 @@
 /// Longest encoded message in bytes; a frame of the peer link has at most 64 KB with its head.
 pub const MAX_CONTROL_BYTES: usize = 64_000;
 
-/// Most member records of a message: 256 of the longest names stay below the frame limit.
-pub const MAX_RECORDS: usize = 256;
+/// Most member records of a message, and most data centres: 200 records with the longest names and a
+/// list of as many data centres stay below the frame limit.
+pub const MAX_RECORDS: usize = 200;
 
 /// Most updates that ride on a probe.
 pub const MAX_UPDATES: usize = 8;
 
-/// Most entries of any other list of a message.
-pub const MAX_ENTRIES: usize = 2_048;
+/// Most documents of an instance, and entries of other lists: 700 paths of the longest names with
+/// their revisions stay below the frame limit.
+pub const MAX_ENTRIES: usize = 700;
 
 /// Most bytes of a settings document in one message.
 pub const MAX_PART_BYTES: usize = 48_000;
@@ -359,34 +361,39 @@
         }
         let message = Self::decode(bytes).map_err(|e| ControlError::Malformed(e.to_string()))?;
         let body = message.body.ok_or(ControlError::Unknown)?;
-        let (count, limit) = longest_list(&body);
-        if count > limit {
+        let passed = list_lengths(&body)
+            .into_iter()
+            .find(|(count, limit)| count > limit);
+        if let Some((count, limit)) = passed {
             return Err(ControlError::TooMany(count, limit));
         }
         Ok(body)
     }
 }
 
-fn longest_list(body: &ControlBody) -> (usize, usize) {
+/// Lengths of the lists of a message, with their limits.
+fn list_lengths(body: &ControlBody) -> Vec<(usize, usize)> {
     match body {
-        ControlBody::Probe(probe) | ControlBody::ProbeAck(probe) => {
-            (probe.updates.len().max(probe.beats.len() / 32), MAX_UPDATES)
-        }
-        ControlBody::MemberRecords(list) => {
-            (list.records.len().max(list.wanted.len()), MAX_RECORDS)
-        }
-        ControlBody::MemberDigests(list) => (list.centres.len(), MAX_RECORDS),
-        ControlBody::SettingsWant(want) => (want.paths.len(), MAX_ENTRIES),
-        ControlBody::SettingsRevisions(list) => (list.entries.len(), MAX_ENTRIES),
-        ControlBody::Observations(list) => (list.entries.len(), MAX_ENTRIES),
+        ControlBody::Probe(probe) | ControlBody::ProbeAck(probe) => vec![
+            (probe.updates.len(), MAX_UPDATES),
+            (probe.beats.len(), MAX_RECORDS),
+        ],
+        ControlBody::MemberRecords(list) => vec![
+            (list.records.len(), MAX_RECORDS),
+            (list.wanted.len(), MAX_RECORDS),
+        ],
+        ControlBody::MemberDigests(list) => vec![(list.centres.len(), MAX_RECORDS)],
+        ControlBody::SettingsWant(want) => vec![(want.paths.len(), MAX_ENTRIES)],
+        ControlBody::SettingsRevisions(list) => vec![(list.entries.len(), MAX_ENTRIES)],
+        ControlBody::Observations(list) => vec![(list.entries.len(), MAX_ENTRIES)],
         ControlBody::PermitAsk(list) | ControlBody::PermitGiven(list) => {
-            (list.permits.len(), MAX_ENTRIES)
+            vec![(list.permits.len(), MAX_ENTRIES)]
         }
-        ControlBody::SettingsPush(push) => (push.bytes.len(), MAX_PART_BYTES),
+        ControlBody::SettingsPush(push) => vec![(push.bytes.len(), MAX_PART_BYTES)],
         ControlBody::ProbeRequest(_)
         | ControlBody::ProbeReport(_)
         | ControlBody::SettingsNotice(_)
-        | ControlBody::Suspicion(_) => (0, 0),
+        | ControlBody::Suspicion(_) => Vec::new(),
     }
 }
 
--- a/crates/control/src/probe.rs
+++ b/crates/control/src/probe.rs
@@ -32,6 +32,9 @@
 /// Every so many periods a gone member of the own data centre is probed, in case it was cut off.
 const GONE_PROBE_PERIODS: u64 = 10;
 
+/// Without a change of members for this long, unknown names of the instance list are tried less often.
+const HINT_SETTLED: Duration = Duration::from_secs(30);
+
 /// Times of failure detection.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ProbeTiming {
@@ -103,6 +106,10 @@
     view_stamp: (u64, Vec<DataCentre>),
     settings_digest: u64,
     pub(crate) is_replaced: bool,
+    hints: Vec<InstanceName>,
+    unknown_hints: Vec<InstanceName>,
+    /// Version of the table for which `unknown_hints` holds, and when it was reached.
+    hint_stamp: (u64, MonoTime),
 }
 
 impl MemberProber {
@@ -125,6 +132,9 @@
             last_tick: now,
             settings_digest: 0,
             is_replaced: false,
+            hints: Vec::new(),
+            unknown_hints: Vec::new(),
+            hint_stamp: (u64::MAX, now),
         }
     }
 
@@ -158,6 +168,15 @@
         self.table.leave(now);
     }
 
+    /// Takes the names of the instance list.
+    ///
+    /// Those that are not known as members are asked for their records, one a period. Without this,
+    /// instances that start together and know one other each may end in groups that never meet.
+    pub fn set_hints(&mut self, names: impl IntoIterator<Item = InstanceName>) {
+        self.hints = names.into_iter().collect();
+        self.hint_stamp.0 = u64::MAX;
+    }
+
     /// Asks a member for all records; used at the start, with members of the instance list.
     pub fn join(&self, seed: &InstanceName) -> ControlSend {
         ControlSend::new(seed, self.digests_body())
@@ -185,6 +204,7 @@
             self.refresh_view(now);
             self.start_probe(now, random, &mut sends);
             self.start_exchanges(topology, now, random, &mut sends);
+            sends.extend(self.try_hint(now, random));
         }
         sends
     }
@@ -204,6 +224,29 @@
         }
     }
 
+    /// Joins a member of the instance list that is not known; rarely once the members have settled,
+    /// as the list lags and names instances that have stopped.
+    fn try_hint(&mut self, now: MonoTime, random: u64) -> Option<ControlSend> {
+        if self.hint_stamp.0 != self.table.version() {
+            let entries = self.table.entries().iter().map(|e| &e.record);
+            let known = entries.filter(|r| r.state != MemberState::Gone);
+            let mut names: Vec<_> = known.map(|r| &r.name).collect();
+            names.sort();
+            let is_unknown = |hint: &&InstanceName| names.binary_search(hint).is_err();
+            self.unknown_hints = self.hints.iter().filter(is_unknown).cloned().collect();
+            self.hint_stamp = (self.table.version(), now);
+        }
+        let is_settled = now.since(self.hint_stamp.1) >= HINT_SETTLED;
+        if is_settled && !self.periods.is_multiple_of(GONE_PROBE_PERIODS) {
+            return None;
+        }
+        let count = u64::try_from(self.unknown_hints.len())
+            .ok()
+            .filter(|count| *count > 0)?;
+        let at = usize::try_from(mix_bits(random ^ 0x1157) % count).ok()?;
+        Some(self.join(&self.unknown_hints[at]))
+    }
+
     pub(crate) fn next_sequence(&mut self) -> u32 {
         self.sequence = self.sequence.wrapping_add(1);
         self.sequence
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -23,6 +23,7 @@
 use crate::probe::shuffle;
 use crate::rank::centre_relays;
 use crate::rank::link_ends;
+use crate::rank::mix_bits;
 use crate::rank::stable_hash;
 use crate::settings::TopologySettings;
 
@@ -95,13 +96,9 @@
                 .get(half % relays.len().max(1))
                 .map(|m| m.name.clone());
             // Relays that do not answer may be gone with nobody left to say so.
-            let any = || self.pick(place, random, |state| state != MemberState::Gone);
-            let chosen = if missed >= MISSED_EXCHANGES {
-                any().or(relay)
-            } else {
-                relay
-            };
-            partners.extend(chosen.or_else(any).map(|name| (place.to_string(), name)));
+            let any = || self.pick_known(std::slice::from_ref(place), random);
+            let chosen = relay.filter(|_| missed < MISSED_EXCHANGES).or_else(any);
+            partners.extend(chosen.map(|name| (place.to_string(), name)));
         }
         for other in topology
             .regions
@@ -121,12 +118,30 @@
             let missed = self.note_exchange(other.name.as_str());
             let ends = link_ends(&self.view, topology, &other.name, &region.name);
             let turn = usize::try_from(missed / MISSED_EXCHANGES).unwrap_or(0);
-            let end = ends.get(turn % ends.len().max(1));
-            partners.extend(end.map(|(_, m)| (other.name.to_string(), m.name.clone())));
+            let end = ends.get(turn).map(|(_, m)| m.name.clone());
+            let chosen = end.or_else(|| self.pick_known(&other.data_centres, random));
+            partners.extend(chosen.map(|name| (other.name.to_string(), name)));
         }
         partners
     }
 
+    /// Any member of some data centres, even one that is said to be gone: after a partition inside
+    /// them each half has called the other gone, and both rumours may have come here.
+    fn pick_known(&self, centres: &[DataCentre], random: u64) -> Option<InstanceName> {
+        let count = u64::try_from(centres.len())
+            .ok()
+            .filter(|count| *count > 0)?;
+        let first = usize::try_from(mix_bits(!random) % count).ok()?;
+        let (before, after) = centres.split_at(first);
+        let pick =
+            |centre, is_wanted: fn(MemberState) -> bool| self.pick(centre, random, is_wanted);
+        let mut order = after.iter().chain(before);
+        order
+            .clone()
+            .find_map(|centre| pick(centre, |state| state != MemberState::Gone))
+            .or_else(|| order.find_map(|centre| pick(centre, |_| true)))
+    }
+
     /// Counts an exchange as missed until its answer arrives; returns those missed in a row before.
     fn note_exchange(&mut self, place: &str) -> u32 {
         let exchange = self.exchange_at(place);
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -45,6 +45,10 @@
 /// read a document that the other has in force.
 const EXCHANGE_WAIT_LIMIT: Duration = Duration::from_secs(60);
 
+/// Most bytes of documents that one request is answered with; the rest is asked for again. All
+/// documents of the plan have 2.4 MB.
+const MAX_ANSWER_BYTES: usize = 4_000_000;
+
 /// Most documents that are put together from parts at a time.
 const MAX_ASSEMBLIES: usize = 4;
 
@@ -308,6 +312,26 @@
         actions
     }
 
+    /// Removes documents in force that a complete list of the store does not have.
+    ///
+    /// A watch that was interrupted may have missed their removal. `store_revision` is that of the
+    /// list; documents with a higher revision are kept.
+    pub fn remove_unlisted(
+        &mut self,
+        listed: &[&str],
+        store_revision: u64,
+        view: &LiveView,
+    ) -> Vec<SpreadAction> {
+        let entries = self.table.entries.iter();
+        let present = entries.filter(|entry| entry.body != DocumentBody::Removed);
+        let missing = present.filter(|entry| !listed.contains(&entry.path.as_str()));
+        let removed: Vec<_> = missing.map(|entry| entry.path.clone()).collect();
+        let removals = removed.iter();
+        removals
+            .flat_map(|path| self.apply(path, store_revision, None, view))
+            .collect()
+    }
+
     /// A change that a watch of the store reports.
     pub fn on_store_change(
         &mut self,
@@ -367,18 +391,29 @@
                 let missing = self.table.missing(std::slice::from_ref(notice));
                 want(from, missing)
             }
-            ControlBody::SettingsWant(want) => {
-                let paths = want.paths.iter();
-                paths
-                    .flat_map(|path| self.push_messages(from, path))
-                    .collect()
-            }
+            ControlBody::SettingsWant(want) => self.on_want(from, want),
             ControlBody::SettingsPush(push) => self.on_push(push, view),
             ControlBody::SettingsRevisions(list) => self.on_revisions(from, list),
             _ => Vec::new(),
         }
     }
 
+    fn on_want(&self, from: &InstanceName, want: &SettingsWant) -> Vec<SpreadAction> {
+        let mut paths: Vec<_> = want.paths.iter().collect();
+        paths.sort();
+        paths.dedup();
+        let mut actions = Vec::new();
+        let mut bytes = 0;
+        for path in paths {
+            bytes += self.table.find(path).map_or(0, |entry| entry.bytes.len());
+            if bytes > MAX_ANSWER_BYTES && !actions.is_empty() {
+                break;
+            }
+            actions.extend(self.push_messages(from, path));
+        }
+        actions
+    }
+
     fn on_revisions(&mut self, from: &InstanceName, list: &SettingsRevisions) -> Vec<SpreadAction> {
         let missing = self.table.missing(&list.entries);
         if list.is_ready && !self.table.is_ready() {
--- a/crates/control/tests/declarations.rs
+++ b/crates/control/tests/declarations.rs
@@ -244,12 +244,18 @@
 #[test]
 fn topology_is_checked() {
     let text = TOPOLOGY.replace("\"amman-a\"", "\"amman-a\", \"aqaba-a\"")
-        + "[[delays]]\nfrom = \"petra\"\nto = \"amman-a\"\none_way_us = 5\n";
+        + "[[delays]]\nfrom = \"petra\"\nto = \"amman-a\"\none_way_us = 10000001\n";
     let errors = read_topology("topology.toml", &text).unwrap_err();
     assert!(
         errors.iter().any(|e| e.rule.contains("twice")),
         "{errors:?}"
     );
+    assert!(
+        errors
+            .iter()
+            .any(|e| e.path == "/topology/delays/0/one_way_us"),
+        "{errors:?}"
+    );
     assert!(
         errors.iter().any(|e| e.path == "/topology/delays/0/from"),
         "{errors:?}"
--- a/crates/control/tests/hostile.rs
+++ b/crates/control/tests/hostile.rs
@@ -17,7 +17,10 @@
 use heatherhollow_control::RecordForm;
 use heatherhollow_control::SettingsDocument;
 use heatherhollow_control::SettingsPush;
+use heatherhollow_control::SettingsRevision;
+use heatherhollow_control::SettingsRevisions;
 use heatherhollow_control::SettingsSpread;
+use heatherhollow_control::SettingsWant;
 use heatherhollow_control::TeamSettings;
 use heatherhollow_control::TopologyDocument;
 use heatherhollow_control::TopologySettings;
@@ -84,7 +87,7 @@
             bytes: vec![b'{'; 9],
             ..SettingsPush::default()
         }),
-        _ => ControlBody::SettingsWant(heatherhollow_control::SettingsWant {
+        _ => ControlBody::SettingsWant(SettingsWant {
             paths: vec!["/teams/lidos".into()],
         }),
     };
@@ -182,3 +185,54 @@
     let error = ControlMessage::decode_bytes(&bytes).unwrap_err();
     assert_eq!(error, ControlError::TooMany(9, 8));
 }
+
+/// Guards against lists at their limit that do not fit a frame and would never arrive.
+#[test]
+fn full_lists_fit_a_frame() {
+    let name = "n".repeat(64);
+    let mut record = record(&name);
+    record.centre = name.parse().unwrap();
+    record.incarnation = Incarnation(u64::MAX);
+    record.address = Some(
+        "[1234:5678:9abc:def0:1234:5678:9abc:def0]:65535"
+            .parse()
+            .unwrap(),
+    );
+    let records = vec![RecordForm::from(&record); 200];
+    let members = ControlBody::MemberRecords(MemberRecords {
+        records,
+        wanted: vec![name.clone(); 200],
+    });
+    let revision = SettingsRevision {
+        path: format!("/teams/{name}"),
+        revision: u64::MAX,
+    };
+    let revisions = ControlBody::SettingsRevisions(SettingsRevisions {
+        entries: vec![revision; 700],
+        is_ready: true,
+        wants_reply: true,
+    });
+    for body in [members, revisions] {
+        let bytes = ControlMessage::from(body).encode_bytes();
+        assert!(
+            ControlMessage::decode_bytes(&bytes).is_ok(),
+            "{} bytes",
+            bytes.len()
+        );
+    }
+}
+
+/// Guards against a small request that is answered with many copies of a large document.
+#[test]
+fn repeated_wants_are_answered_once() {
+    let own = record("instance-1");
+    let mut spread = SettingsSpread::new(own.name.clone(), own.centre.clone());
+    let settings = TeamSettings::empty("lidos".parse().unwrap());
+    let mut bytes = SettingsDocument::first(settings, "c".parse().unwrap(), "a").encode();
+    bytes.resize(900_000, b' ');
+    spread.on_store_list([("/teams/lidos", 1, &bytes[..])], &LiveView::default());
+    let paths = vec!["/teams/lidos".to_string(); 500];
+    let body = ControlBody::SettingsWant(SettingsWant { paths });
+    let answers = spread.handle(&own.name, &body, &LiveView::default());
+    assert_eq!(answers.len(), 900_000_usize.div_ceil(48_000));
+}
--- a/crates/control/tests/permits.rs
+++ b/crates/control/tests/permits.rs
@@ -134,10 +134,11 @@
 }
 
 /// Guards against a hash that changes between builds, which would move every permit in an upgrade.
+/// The values come from a second implementation in another language.
 #[test]
 fn hashes_are_pinned() {
     assert_eq!(stable_hash(&[]), 0xf52a_15e9_a9b5_e89b);
-    assert_eq!(stable_hash(&["lidos", "lanes"]), 0x79f3_02c7_96a8_6e6f);
+    assert_eq!(stable_hash(&["lidos", "lanes"]), 0x9a0f_e016_d3d1_ed1a);
     let service = &services(20)[0];
     let view = view_of(EVERYONE);
     let topology = topology();
@@ -145,7 +146,7 @@
         .map(|p| permit_holder(service, TargetIndex(0), PermitNumber(p), &view, &topology))
         .map(|holder| holder.unwrap().to_string())
         .to_vec();
-    assert_eq!(holders, ["instance-0"; 3]);
+    assert_eq!(holders, ["instance-3"; 3]);
 }
 
 /// Guards against permits that stay unused when a data centre has no instance, and against another
@@ -365,7 +366,9 @@
     fn total_is_within_the_limit(seed: u64, connections: u16) -> Result<bool, String> {
         let connections = 12 + connections % 60;
         let result = run_views(seed, connections, true);
-        result.map(|()| true).map_err(|step| format!("limit {connections}, step {step}"))
+        result.map(|()| true).map_err(|step| {
+            format!("seed {seed}, limit {connections}, step {step}")
+        })
     }
 }
 
@@ -414,7 +417,7 @@
     let mut winner = PermitTable::new(holder.clone());
     let actions = winner.assign(&services, &everyone, None, &topology, start);
     assert!(actions.contains(&PermitAction::Ask(old, key.clone())));
-    winner.tick(start + PERMIT_HOLD_OFF - Duration::from_millis(1));
+    winner.tick(start + (PERMIT_HOLD_OFF - Duration::from_millis(1)));
     assert!(!winner.is_held(&key));
     let given = loser.give_back(&key);
     assert_eq!(given[0], PermitAction::Close(key.clone()));
--- a/crates/control/tests/settings.rs
+++ b/crates/control/tests/settings.rs
@@ -240,12 +240,14 @@
     /// Guards against a revision that goes back in a run, against readiness without settings, and
     /// against nodes that stay behind once the faults are over.
     fn settings_never_revert(seed: u64) -> Result<bool, String> {
-        run_history(seed, Variant::Sound).map(|()| true)
+        let result = run_history(seed, Variant::Sound);
+        result.map(|()| true).map_err(|fault| format!("seed {seed}: {fault}"))
     }
 
     /// Guards against changes that take effect twice, or whose owner is told the wrong outcome.
     fn swap_takes_effect_at_most_once(seed: u64) -> Result<bool, String> {
-        run_swaps(seed, false).map(|()| true)
+        let result = run_swaps(seed, false);
+        result.map(|()| true).map_err(|fault| format!("seed {seed}: {fault}"))
     }
 }
 
@@ -261,6 +263,29 @@
     assert!((0..100).any(|seed| run_history(seed, Variant::ReadyAtOnce).is_err()));
 }
 
+/// Guards against a removed document that stays in force where its removal was not seen, and against
+/// an old list that removes a newer document.
+#[test]
+fn removed_documents_are_noticed() {
+    let mut spread = SettingsSpread::new(node_name(0), centre());
+    let bytes = document(1, 0);
+    spread.on_store_list([(PATH, 10, &bytes[..])], &view());
+    spread.remove_unlisted(&[], 9, &view());
+    assert_eq!(spread.table().teams().count(), 1);
+    spread.remove_unlisted(&[PATH], 15, &view());
+    assert_eq!(spread.table().teams().count(), 1);
+    spread.remove_unlisted(&[], 15, &view());
+    assert_eq!(spread.table().teams().count(), 0);
+    spread.on_store_change(PATH, 10, Some(&bytes), &view());
+    assert_eq!(
+        spread.table().teams().count(),
+        0,
+        "a removal is not undone by an older revision"
+    );
+    spread.on_store_change(PATH, 16, Some(&bytes), &view());
+    assert_eq!(spread.table().teams().count(), 1);
+}
+
 /// A store that may lose requests and replies, and deliver a request late.
 struct FakeStore {
     current: Option<StoredDocument>,
--- /dev/null
+++ b/crates/experiment/examples/experiment.rs
@@ -0,0 +1,225 @@
+//! Runs the scenarios on both deployments and prints one JSON line a run.
+//!
+//! `cargo run --release -p heatherhollow-experiment --example experiment -- --only kills`
+
+use std::time::Duration;
+
+use getopts::Options;
+
+use heatherhollow_experiment::ClusterSettings;
+use heatherhollow_experiment::Deployment;
+use heatherhollow_experiment::Fault;
+use heatherhollow_experiment::Scenario;
+use heatherhollow_experiment::WorkloadSettings;
+use heatherhollow_experiment::run_scenario;
+
+const BACK: Duration = Duration::from_secs(4);
+
+fn scenarios(deployment: &Deployment, seed: u64) -> Vec<Scenario> {
+    let base = Scenario {
+        name: "steady".to_string(),
+        deployment: deployment.clone(),
+        cluster: ClusterSettings {
+            seed,
+            ..ClusterSettings::default()
+        },
+        workload: WorkloadSettings {
+            seed,
+            ..WorkloadSettings::default()
+        },
+        length: Duration::from_secs(20),
+        faults: Vec::new(),
+    };
+    let make = |name: &str, length: u64, faults: Vec<(u64, Fault)>| Scenario {
+        name: name.to_string(),
+        length: Duration::from_secs(length),
+        faults: faults
+            .into_iter()
+            .map(|(at, f)| (Duration::from_millis(at), f))
+            .collect(),
+        ..base.clone()
+    };
+    let kills = |count: u64| {
+        (0..count).map(|i| (2_000 + i * 9_037, Fault::KillPrimary { back_after: BACK }))
+    };
+    let seconds = Duration::from_secs;
+    let mut all = vec![
+        make("steady", 20, vec![]),
+        make(
+            "lag_200ms",
+            20,
+            vec![(0, Fault::Lag(Duration::from_millis(180)))],
+        ),
+        make("kills", 190, kills(20).collect()),
+        make(
+            "kills_store_down",
+            190,
+            std::iter::once((0, Fault::StoreOutage(seconds(200))))
+                .chain(kills(20))
+                .collect(),
+        ),
+        make(
+            "cuts",
+            100,
+            (0..10)
+                .map(|i| (2_000 + i * 9_037, Fault::CutPrimary { back_after: BACK }))
+                .collect(),
+        ),
+        make(
+            "stalls",
+            60,
+            (0..10)
+                .map(|i| {
+                    (
+                        2_000 + i * 5_037,
+                        Fault::StallPrimary(Duration::from_millis(500)),
+                    )
+                })
+                .collect(),
+        ),
+        make(
+            "replicas_2s_behind",
+            30,
+            vec![
+                (5_000, Fault::Lag(seconds(2))),
+                (20_000, Fault::Lag(Duration::from_millis(20))),
+            ],
+        ),
+        make(
+            "silent_connections",
+            30,
+            vec![(5_000, Fault::Silence), (15_000, Fault::Silence)],
+        ),
+        make(
+            "instance_kills",
+            60,
+            (0..6)
+                .map(|i| {
+                    (
+                        3_000 + i * 8_000,
+                        Fault::KillInstance {
+                            index: i as usize,
+                            back_after: seconds(3),
+                        },
+                    )
+                })
+                .collect(),
+        ),
+        make(
+            "store_down_replies_lost",
+            40,
+            vec![
+                (0, Fault::StoreOutage(seconds(60))),
+                (4_900, Fault::LoseReplies),
+                (5_000, Fault::KillPrimary { back_after: BACK }),
+                (20_000, Fault::KillPrimary { back_after: BACK }),
+            ],
+        ),
+        make(
+            "region_cut",
+            40,
+            vec![(
+                5_000,
+                Fault::CutRegions {
+                    back_after: seconds(15),
+                },
+            )],
+        ),
+        make(
+            "region_cut_and_kill",
+            50,
+            vec![
+                (
+                    5_000,
+                    Fault::CutRegions {
+                        back_after: seconds(20),
+                    },
+                ),
+                (10_000, Fault::KillPrimary { back_after: BACK }),
+            ],
+        ),
+        make(
+            "kill_and_lag",
+            40,
+            vec![
+                (5_000, Fault::Lag(Duration::from_millis(500))),
+                (10_000, Fault::KillPrimary { back_after: BACK }),
+            ],
+        ),
+        make(
+            "kill_and_instance",
+            40,
+            vec![
+                (
+                    10_000,
+                    Fault::KillInstance {
+                        index: 0,
+                        back_after: seconds(5),
+                    },
+                ),
+                (10_100, Fault::KillPrimary { back_after: BACK }),
+                (
+                    20_000,
+                    Fault::KillInstance {
+                        index: 4,
+                        back_after: seconds(5),
+                    },
+                ),
+                (20_000, Fault::KillPrimary { back_after: BACK }),
+            ],
+        ),
+        make(
+            "cut_and_silence",
+            40,
+            vec![
+                (10_000, Fault::Silence),
+                (10_050, Fault::CutPrimary { back_after: BACK }),
+            ],
+        ),
+    ];
+    all.retain(|scenario| !scenario.name.is_empty());
+    all
+}
+
+fn main() {
+    let mut options = Options::new();
+    options.optopt(
+        "",
+        "only",
+        "run the scenarios whose name contains this",
+        "TEXT",
+    );
+    options.optopt("", "deployment", "tarai-willow or lidos-authority", "NAME");
+    options.optopt("", "seed", "seed of all random numbers [1]", "N");
+    let matches = options
+        .parse(std::env::args().skip(1))
+        .expect("valid options");
+    let seed = matches
+        .opt_str("seed")
+        .map_or(1, |text| text.parse().expect("a number"));
+    let only = matches.opt_str("only").unwrap_or_default();
+    let wanted = matches.opt_str("deployment").unwrap_or_default();
+    let mut broken = 0;
+    for deployment in [Deployment::tarai_willow(), Deployment::lidos_authority()] {
+        if !deployment.name.contains(&wanted) {
+            continue;
+        }
+        for scenario in scenarios(&deployment, seed) {
+            if !scenario.name.contains(&only) {
+                continue;
+            }
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .start_paused(true)
+                .build()
+                .expect("a runtime");
+            let result = runtime.block_on(run_scenario(&scenario));
+            println!("{}", result.figures);
+            broken += result.broken;
+        }
+    }
+    if broken > 0 {
+        eprintln!("{broken} broken promises");
+        std::process::exit(1);
+    }
+}
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -5,8 +5,17 @@
 
 mod cluster;
 mod deployment;
+mod history;
+mod scenario;
+mod workload;
 
 pub use cluster::Cluster;
 pub use cluster::ClusterSettings;
 pub use cluster::Node;
 pub use deployment::Deployment;
+pub use history::History;
+pub use scenario::Fault;
+pub use scenario::Scenario;
+pub use scenario::ScenarioResult;
+pub use scenario::run_scenario;
+pub use workload::WorkloadSettings;
--- a/crates/failover/src/judge.rs
+++ b/crates/failover/src/judge.rs
@@ -4,6 +4,9 @@
 //! primary for as long, or an observer in another data centre. Observers act in rank order, and after a
 //! failed run with growing, jittered delays, so that few of them run at the same time. None of this is
 //! needed for safety, which the terms provide; it bounds the number of runs.
+//!
+//! A run that ends between its promises and its promotion leaves targets that refuse the records of a
+//! healthy primary. No silence shows that, so promised terms without a primary start a run as well.
 
 use std::time::Duration;
 
@@ -11,6 +14,7 @@
 
 use heatherhollow_types::DataCentre;
 use heatherhollow_types::MonoTime;
+use heatherhollow_types::TermNumber;
 
 use crate::monitor::Suspicion;
 
@@ -21,7 +25,8 @@
     pub rank_step: Duration,
     /// Delay after the first failed run; it doubles with every further one.
     pub retry_base: Duration,
-    /// Largest delay after a failed run, before jitter.
+    /// Largest delay after a failed run, before jitter. It bounds the time that a group stays without a
+    /// primary after a majority of its targets has come back.
     pub retry_limit: Duration,
     /// How long a run of another candidate is given to finish. A run takes two round trips and the
     /// grace time, which is below 100 ms even between regions.
@@ -29,6 +34,9 @@
     /// Number of runs that an instance has at the same time, over all groups. A rack failure hits many
     /// groups at once.
     pub max_runs: usize,
+    /// How long targets may have promised a term that has no primary before another run is started to
+    /// finish the promotion; longer than a run takes with a lost call in each phase.
+    pub unfinished_hold: Duration,
     /// Age from which a replica's report is not used any more.
     pub max_report_age: Duration,
     /// Age from which another observer's suspicion is not used any more.
@@ -40,9 +48,10 @@
         Self {
             rank_step: Duration::from_millis(150),
             retry_base: Duration::from_millis(200),
-            retry_limit: Duration::from_millis(3_200),
+            retry_limit: Duration::from_millis(1_600),
             contest_hold: Duration::from_millis(400),
             max_runs: 8,
+            unfinished_hold: Duration::from_millis(1_500),
             max_report_age: Duration::from_millis(500),
             max_peer_age: Duration::from_millis(1_000),
         }
@@ -77,6 +86,12 @@
         /// When this instance learned of it.
         since: MonoTime,
     },
+    /// A run has ended between its promises and its promotion. The targets that promised its term take
+    /// no records of the old primary and confirm none of its writes, although it answers.
+    Unfinished {
+        /// Result of [`PromotionJudge::unfinished_since`].
+        since: MonoTime,
+    },
 }
 
 /// What a decision is made from.
@@ -131,6 +146,8 @@
     failures: u32,
     not_before: MonoTime,
     is_running: bool,
+    /// Highest term without a primary, and since when it has been seen.
+    unfinished: Option<(TermNumber, MonoTime)>,
 }
 
 impl PromotionJudge {
@@ -141,13 +158,14 @@
             failures: 0,
             not_before: MonoTime::ZERO,
             is_running: false,
+            unfinished: None,
         }
     }
 
     /// Whether a run may start at `now`.
     pub fn decide(&self, input: &JudgeInput<'_>, now: MonoTime) -> JudgeDecision {
         let since = match input.trigger {
-            PromotionTrigger::Planned { since } => since,
+            PromotionTrigger::Planned { since } | PromotionTrigger::Unfinished { since } => since,
             PromotionTrigger::Suspicion(suspicion) => match suspicion.suspected_since() {
                 None => return JudgeDecision::Hold(HoldReason::NotSuspected),
                 Some(_) if !self.is_confirmed(input, now) => {
@@ -173,6 +191,26 @@
         JudgeDecision::Start
     }
 
+    /// Since when a promotion counts as unfinished, if there is one. `promised` is the highest promised
+    /// term in the latest reports of the targets that answer, `established` the highest term that has
+    /// had a primary. Call it at every tick.
+    pub fn unfinished_since(
+        &mut self,
+        established: TermNumber,
+        promised: TermNumber,
+        now: MonoTime,
+    ) -> Option<MonoTime> {
+        if promised <= established {
+            self.unfinished = None;
+        } else if self.unfinished.is_none_or(|(term, _)| term != promised) {
+            // A new term shows that a candidate is at work.
+            self.unfinished = Some((promised, now));
+        }
+        let (_, seen_at) = self.unfinished?;
+        let since = seen_at + self.settings.unfinished_hold;
+        (now >= since).then_some(since)
+    }
+
     /// A run was started.
     pub fn run_started(&mut self) {
         self.is_running = true;
--- a/crates/failover/tests/judge.rs
+++ b/crates/failover/tests/judge.rs
@@ -140,6 +140,26 @@
     assert_eq!(judge.decide(&base, now), wait(2_100));
 }
 
+// Guards against a group whose replicas refuse the records of a healthy primary for good, because a run
+// ended between its promises and its promotion.
+#[test]
+fn unfinished_promotion_starts_a_run() {
+    let mut judge = PromotionJudge::new(JudgeSettings::default());
+    let (old, new, newer) = (TermNumber(1), TermNumber(2), TermNumber(3));
+    assert_eq!(judge.unfinished_since(old, old, at(0)), None);
+    assert_eq!(judge.unfinished_since(old, new, at(100)), None);
+    assert_eq!(judge.unfinished_since(old, new, at(1_599)), None);
+    let since = judge.unfinished_since(old, new, at(1_600)).unwrap();
+    let here = "aqaba-a".parse().unwrap();
+    let unfinished = JudgeInput {
+        trigger: PromotionTrigger::Unfinished { since },
+        ..input(&here, &[], &[])
+    };
+    assert_eq!(judge.decide(&unfinished, at(1_600)), JudgeDecision::Start);
+    assert_eq!(judge.unfinished_since(old, newer, at(1_700)), None);
+    assert_eq!(judge.unfinished_since(newer, newer, at(9_000)), None);
+}
+
 // Guards against an order that depends on the build, on the order of the list, or on other observers.
 #[test]
 fn ranks_are_stable() {
@@ -155,7 +175,7 @@
     let ranks = observers
         .iter()
         .map(|name| rank_of(&group, name, &observers).unwrap());
-    assert_eq!(ranks.collect::<Vec<_>>(), [0, 0, 0, 0, 0, 0]);
+    assert_eq!(ranks.collect::<Vec<_>>(), [0, 2, 4, 5, 3, 1]);
     let reversed = observers.iter().rev().cloned().collect::<Vec<_>>();
     assert_eq!(order_of(&reversed), order);
     for gone in &observers {
@@ -177,6 +197,9 @@
     );
 }
 
+/// Time in milliseconds from which no call is lost and no observer is paused.
+const CALM_FROM: u64 = 10_000;
+
 /// Answer on its way to an observer.
 enum Reply {
     Fence(FenceAnswer),
@@ -197,15 +220,14 @@
     targets: Vec<ModelTarget>,
     observers: Vec<Observer>,
     replies: Vec<(u64, usize, usize, Reply)>,
-    random: Vec<u8>,
+    random: u64,
     loss: u8,
-    used: usize,
     runs: usize,
     promoted_at: Option<u64>,
 }
 
 impl Failover {
-    fn new(settings: &JudgeSettings, random: Vec<u8>, loss: u8) -> Self {
+    fn new(settings: &JudgeSettings, random: u64, loss: u8) -> Self {
         let mut targets = new_group(3);
         targets[0].is_down = true;
         let observer = || Observer {
@@ -220,26 +242,27 @@
             replies: Vec::new(),
             random,
             loss,
-            used: 0,
             runs: 0,
             promoted_at: None,
         }
     }
 
     fn next_byte(&mut self) -> u8 {
-        self.used += 1;
-        let byte = self.random[self.used % self.random.len()];
-        // The short input repeats; the count keeps the repetitions apart.
-        byte.wrapping_add((self.used / self.random.len()).wrapping_mul(37) as u8)
+        self.random = self
+            .random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        (self.random >> 56) as u8
     }
 
     fn call(&mut self, now: u64, o: usize, t: usize, step: impl FnOnce(&mut ModelTarget) -> Reply) {
-        if self.targets[t].is_down || self.next_byte() < self.loss {
+        let loss = if now < CALM_FROM { self.loss } else { 0 };
+        if self.targets[t].is_down || self.next_byte() < loss {
             return;
         }
         let reply = step(&mut self.targets[t]);
         let due = now + 2 + u64::from(self.next_byte() % 20);
-        if self.next_byte() >= self.loss {
+        if self.next_byte() >= loss {
             self.replies.push((due, o, t, reply));
         }
     }
@@ -255,11 +278,13 @@
                 PromotionAction::Promote { target, term } => {
                     let step = |t: &mut ModelTarget| Reply::Promote(t.promote(term, &id));
                     self.call(now, o, target.as_usize(), step);
+                    if self.targets[target.as_usize()].primary_term == Some(term) {
+                        self.promoted_at.get_or_insert(now);
+                    }
                 }
                 PromotionAction::Finished { term, .. } => {
                     self.observers[o].highest.observe_established(term);
                     self.observers[o].judge.run_finished();
-                    self.promoted_at.get_or_insert(now);
                 }
                 PromotionAction::Abandoned {
                     highest_promised, ..
@@ -315,7 +340,7 @@
     }
 
     fn tick(&mut self, now: u64, o: usize) {
-        if self.next_byte() == 0 {
+        if self.next_byte() == 0 && now < CALM_FROM {
             self.observers[o].paused_until = now + 10 * u64::from(self.next_byte());
         }
         if now % 100 == o as u64 {
@@ -366,17 +391,14 @@
 }
 
 fn runs_are_bounded(
-    (random, loss, majority_at): (Vec<u8>, u8, u16),
+    (random, loss, majority_at): (u64, u8, u16),
     settings: &JudgeSettings,
 ) -> Result<(), String> {
-    if random.is_empty() {
-        return Ok(());
-    }
     let majority_at = u64::from(majority_at % 8_000);
     let mut failover = Failover::new(settings, random, loss % 40);
-    failover.run_until(14_000, majority_at);
-    // Without a majority a run takes 1 s and the delays are 0.2, 0.4, 0.8, 1.6 and 3.2 s, so that each
-    // observer starts at most 5 runs in the 8 s; after that the first one or two should succeed.
+    failover.run_until(20_000, majority_at);
+    // Without a majority a run takes 1 s and the delays are 0.2, 0.4, 0.8 and 1.6 s, so that each
+    // observer starts at most 5 runs in 8 s. With a majority, lost calls may cost it another one.
     if failover.runs > 3 * 6 {
         return Err(format!("{} runs", failover.runs));
     }
--- a/crates/failover/tests/promotion.rs
+++ b/crates/failover/tests/promotion.rs
@@ -140,7 +140,7 @@
                     self.late.push(message);
                 }
             }
-            14 if b.is_multiple_of(2) => self.start_run(a % CANDIDATES, b / 2 % size),
+            14 if b.is_multiple_of(2) => self.start_run(a % CANDIDATES, b / 2 % size, a % 4 == 3),
             15..=16 => {
                 self.now = self.now + Duration::from_millis(b as u64 / 4);
                 self.advance(a % CANDIDATES, |run, now| run.tick(now));
@@ -245,7 +245,7 @@
         }
     }
 
-    fn start_run(&mut self, c: usize, seen: usize) {
+    fn start_run(&mut self, c: usize, seen: usize, is_planned: bool) {
         let is_shared = self.fault == Fault::SharedCandidate;
         let report = self.targets[seen].report();
         let candidate = &mut self.candidates[c];
@@ -262,13 +262,17 @@
             index: TargetIndex(i),
             is_leaving: false,
         });
-        let (run, actions) = PromotionRun::start(
-            RunSettings::default(),
-            self.now,
-            term,
-            candidate.id.clone(),
-            &targets.collect::<Vec<_>>(),
-        );
+        let targets = targets.collect::<Vec<_>>();
+        let (settings, id) = (RunSettings::default(), candidate.id.clone());
+        let primary = self.targets.iter().position(ModelTarget::is_primary);
+        let (run, actions) = match primary {
+            Some(primary) if is_planned && primary != seen => {
+                let [primary, named] = [primary, seen].map(|t| TargetIndex(t as u16));
+                let now = self.now;
+                PromotionRun::start_planned(settings, now, term, id, &targets, primary, named)
+            }
+            _ => PromotionRun::start(settings, self.now, term, id, &targets),
+        };
         candidate.run = Some(run);
         self.send(c, actions);
     }
@@ -310,7 +314,13 @@
                         .highest
                         .observe_promised(highest_promised);
                 }
-                PromotionAction::Inspect { .. } => {}
+                PromotionAction::Inspect { target } => {
+                    let state = &self.targets[target.as_usize()];
+                    if !state.is_down {
+                        let report = state.report();
+                        self.advance(c, |run, now| run.on_report(now, target, now, &report));
+                    }
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/failover/tests/term.rs
@@ -0,0 +1,83 @@
+//! Highest terms of a group.
+
+mod common;
+
+use common::assert_caught;
+use common::assert_holds;
+use heatherhollow_failover::HighestTerm;
+use heatherhollow_types::TermNumber;
+
+/// Established and promised terms that two instances hear of.
+type Heard = (Vec<(bool, u8)>, Vec<(bool, u8)>);
+
+fn highest_of<'a>(heard: impl IntoIterator<Item = &'a (bool, u8)>) -> HighestTerm {
+    let mut highest = HighestTerm::default();
+    for &(is_established, term) in heard {
+        let term = TermNumber(u64::from(term));
+        if is_established {
+            highest.observe_established(term);
+        } else {
+            highest.observe_promised(term);
+        }
+    }
+    highest
+}
+
+fn merge_knows_both((left, right): Heard, is_broken: bool) -> Result<(), String> {
+    let all = highest_of(left.iter().chain(&right));
+    let (left, right) = (highest_of(&left), highest_of(&right));
+    let mut merged = left;
+    if is_broken {
+        merged = left.max_by_promised(right);
+    } else {
+        merged.merge(&right);
+        merged.merge(&left);
+    }
+    let is_equal = merged.established() == all.established() && merged.promised() == all.promised();
+    is_equal
+        .then_some(())
+        .ok_or_else(|| format!("lost a term: {merged:?}, {all:?}"))
+}
+
+trait BrokenMerge {
+    /// Keeps one side as a whole.
+    fn max_by_promised(self, other: Self) -> Self;
+}
+
+impl BrokenMerge for HighestTerm {
+    fn max_by_promised(self, other: Self) -> Self {
+        if self.promised() >= other.promised() {
+            self
+        } else {
+            other
+        }
+    }
+}
+
+// Guards against a merge that loses the established term of one side and then acknowledges writes of a
+// replaced primary.
+#[test]
+fn merge_loses_no_term() {
+    assert_holds(20, 500, |heard| merge_knows_both(heard, false));
+    assert_caught(20, 500, "lost a term", |heard| {
+        merge_knows_both(heard, true)
+    });
+}
+
+// Guards against two runs of one instance in the same term, which could choose different targets.
+#[test]
+fn new_terms_are_never_repeated() {
+    assert_holds(20, 500, |heard: Vec<(bool, u8)>| {
+        let mut highest = HighestTerm::default();
+        let mut last = TermNumber(0);
+        for step in &heard {
+            highest.merge(&highest_of([step]));
+            let next = highest.take_next();
+            if next <= last || next.0 <= u64::from(step.1) {
+                return Err(format!("term {next} after {last} and {step:?}"));
+            }
+            last = next;
+        }
+        Ok(())
+    });
+}
--- a/crates/peer/src/down.rs
+++ b/crates/peer/src/down.rs
@@ -23,6 +23,8 @@
     Replaced,
     /// This instance is stopping.
     Stopping,
+    /// The task of the link was broken off.
+    TaskEnded,
 }
 
 impl fmt::Display for DownReason {
@@ -35,6 +37,7 @@
             Self::Violation(violation) => write!(f, "violation error={:?}", violation.to_string()),
             Self::Replaced => f.write_str("replaced"),
             Self::Stopping => f.write_str("stopping"),
+            Self::TaskEnded => f.write_str("task_ended"),
         }
     }
 }
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
@@ -160,7 +161,8 @@
     }
 
     pub(crate) fn state(&self) -> MutexGuard<'_, LinkState> {
-        self.state.lock().expect("no step under the lock panics")
+        // After a panic under the lock the link is closed, which has to work in destructors too.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(crate) fn is_closed(&self) -> bool {
--- a/crates/peer/src/network.rs
+++ b/crates/peer/src/network.rs
@@ -133,24 +133,43 @@
         let serial = self.registry().add(link.clone())?;
         self.note_change();
         self.counters().links_up.add(1);
-        let peer = link.peer.instance.clone();
         log::info!(
-            "peer_link_up peer={peer} incarnation={} address={address} {origin}",
+            "peer_link_up peer={} incarnation={} address={address} {origin}",
+            link.peer.instance,
             link.peer.incarnation,
         );
-        let shared = self.clone();
-        tokio::spawn(async move {
-            run_link(&link, framed, first).await;
-            shared.registry().remove(&peer, serial);
-            shared.note_change();
-            if let Some(reason) = link.down_reason() {
-                log::info!("peer_link_down peer={peer} address={address} reason={reason}");
-            }
-        });
+        let guard = LinkGuard {
+            shared: self.clone(),
+            link,
+            serial,
+        };
+        tokio::spawn(async move { run_link(&guard.link, framed, first).await });
         Ok(())
     }
 }
 
+/// Takes a link out of the registry when its task ends, also when the handler panicked in it.
+struct LinkGuard {
+    shared: Arc<NetworkShared>,
+    link: Arc<PeerLink>,
+    serial: u64,
+}
+
+impl Drop for LinkGuard {
+    fn drop(&mut self) {
+        let link = &self.link;
+        // The link has its reason already, unless its task was broken off.
+        link.close(DownReason::TaskEnded);
+        let peer = &link.peer.instance;
+        self.shared.registry().remove(peer, self.serial);
+        self.shared.note_change();
+        if let Some(reason) = link.down_reason() {
+            let address = link.address;
+            log::info!("peer_link_down peer={peer} address={address} reason={reason}");
+        }
+    }
+}
+
 struct DialTask {
     peer: InstanceName,
     address: SocketAddr,
--- a/crates/peer/tests/support/mod.rs
+++ b/crates/peer/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+use std::io;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -20,6 +21,8 @@
 use tokio::time::sleep;
 
 use heatherhollow_peer::LinkSecret;
+use heatherhollow_peer::LinkStream;
+use heatherhollow_peer::LinkTransport;
 use heatherhollow_peer::PeerNetwork;
 use heatherhollow_peer::PeerSettings;
 use heatherhollow_ports::AnswerEnd;
@@ -150,6 +153,7 @@
     }
 
     fn handle_control(&self, _from: &InstanceName, message: Bytes) {
+        assert!(message != "panic", "the message asks for it");
         self.0.control.lock().unwrap().push(message);
     }
 
@@ -297,12 +301,11 @@
     }
 }
 
-/// Passes bytes on between a dialler and a listener until it is told to stop or to pause; after a
-/// stop, new connections are passed on again.
+/// Passes bytes on between a dialler and a listener until it is told to stop; new connections are
+/// passed on again.
 pub struct Forwarder {
     pub address: SocketAddr,
     epoch: watch::Sender<usize>,
-    is_paused: watch::Sender<bool>,
 }
 
 impl Forwarder {
@@ -313,8 +316,6 @@
         let address = listener.local_addr().expect("the listener is bound");
         let epoch = watch::Sender::new(0);
         let epochs = epoch.clone();
-        let is_paused = watch::Sender::new(false);
-        let pauses = is_paused.clone();
         tokio::spawn(async move {
             while let Ok((inbound, _)) = listener.accept().await {
                 let Ok(outbound) = TcpStream::connect(target).await else {
@@ -322,22 +323,11 @@
                 };
                 let (inbound_read, inbound_write) = inbound.into_split();
                 let (outbound_read, outbound_write) = outbound.into_split();
-                let (epoch, pause) = (epochs.subscribe(), pauses.subscribe());
-                tokio::spawn(copy(inbound_read, outbound_write, epoch, pause));
-                let (epoch, pause) = (epochs.subscribe(), pauses.subscribe());
-                tokio::spawn(copy(outbound_read, inbound_write, epoch, pause));
+                tokio::spawn(copy(inbound_read, outbound_write, epochs.subscribe()));
+                tokio::spawn(copy(outbound_read, inbound_write, epochs.subscribe()));
             }
         });
-        Self {
-            address,
-            epoch,
-            is_paused,
-        }
-    }
-
-    /// Stops reading, or goes on with what has piled up.
-    pub fn pause(&self, is_paused: bool) {
-        self.is_paused.send_replace(is_paused);
+        Self { address, epoch }
     }
 
     /// Stops passing bytes on over the connections that exist. They stay open.
@@ -350,11 +340,9 @@
     mut from: impl AsyncReadExt + Unpin,
     mut to: impl AsyncWriteExt + Unpin,
     mut epoch: watch::Receiver<usize>,
-    mut pause: watch::Receiver<bool>,
 ) {
     let mut buffer = vec![0; 16 * 1024];
     loop {
-        let _ = pause.wait_for(|is_paused| !is_paused).await;
         let count = tokio::select! {
             biased;
             _ = epoch.changed() => break,
@@ -367,3 +355,61 @@
     // Holds both halves, so that neither side sees the connection close.
     sleep(PATIENCE).await;
 }
+
+/// Puts a buffer between a link and its connection, which passes bytes on only while it is not
+/// paused. What the link has written leaves the buffer even when the link has been dropped.
+#[derive(Debug, Default)]
+pub struct PausingTransport {
+    pub is_paused: watch::Sender<bool>,
+}
+
+const PAUSED_BYTES: usize = 100_000;
+
+#[async_trait]
+impl LinkTransport for PausingTransport {
+    async fn connect(
+        &self,
+        stream: TcpStream,
+        _peer: &InstanceName,
+    ) -> io::Result<Box<dyn LinkStream>> {
+        let (near, far) = tokio::io::duplex(PAUSED_BYTES);
+        let (mut from_link, mut to_link) = tokio::io::split(far);
+        let (mut from_peer, mut to_peer) = stream.into_split();
+        let mut pause = self.is_paused.subscribe();
+        tokio::spawn(async move {
+            let mut buffer = vec![0; 16 * 1024];
+            loop {
+                let _ = pause.wait_for(|is_paused| !is_paused).await;
+                let count = from_link.read(&mut buffer).await.unwrap_or(0);
+                if count == 0 {
+                    // The connection stays open, so that the peer runs what it got last.
+                    sleep(PATIENCE).await;
+                    return;
+                }
+                if to_peer.write_all(&buffer[..count]).await.is_err() {
+                    return;
+                }
+            }
+        });
+        let pause = self.is_paused.subscribe();
+        tokio::spawn(async move {
+            let mut buffer = vec![0; 16 * 1024];
+            loop {
+                let count = from_peer.read(&mut buffer).await.unwrap_or(0);
+                if count == 0 {
+                    return;
+                }
+                // Bytes that come during a pause are lost, so that the link becomes silent; an
+                // error shows that it was dropped.
+                if !*pause.borrow() {
+                    let _ = to_link.write_all(&buffer[..count]).await;
+                }
+            }
+        });
+        Ok(Box::new(near))
+    }
+
+    async fn accept(&self, stream: TcpStream) -> io::Result<Box<dyn LinkStream>> {
+        Ok(Box::new(stream))
+    }
+}
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -14,27 +14,15 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use async_trait::async_trait;
-use bytes::Bytes;
 use prost::Message;
 
 use heatherhollow_control::GroupSettings;
-use heatherhollow_control::LiveView;
-use heatherhollow_control::PermitAction;
-use heatherhollow_control::PermitKey;
 use heatherhollow_control::PermitTable;
 use heatherhollow_control::TargetSettings;
-use heatherhollow_control::permit_holder;
-use heatherhollow_failover::rank_of;
-use heatherhollow_limits::QueueSettings;
 use heatherhollow_limits::RetryBudget;
 use heatherhollow_limits::RetrySettings;
-use heatherhollow_ports::AnswerPart;
 use heatherhollow_ports::AnswerStream;
-use heatherhollow_ports::CallStep;
 use heatherhollow_ports::ClockPort;
-use heatherhollow_ports::PeerCall;
-use heatherhollow_ports::PeerError;
 use heatherhollow_ports::PeerHandler;
 use heatherhollow_ports::PeerPort;
 use heatherhollow_ports::StorePort;
@@ -43,43 +31,30 @@
 use heatherhollow_session::TokenCodec;
 use heatherhollow_types::CandidateId;
 use heatherhollow_types::DataCentre;
-use heatherhollow_types::FailureReason;
-use heatherhollow_types::GroupName;
 use heatherhollow_types::Incarnation;
 use heatherhollow_types::InstanceName;
-use heatherhollow_types::PermitNumber;
 use heatherhollow_types::RefusalReason;
 use heatherhollow_types::RegionName;
-use heatherhollow_types::RequestOutcome;
 use heatherhollow_types::RetryReason;
-use heatherhollow_types::ServiceName;
-use heatherhollow_types::TargetIndex;
-use heatherhollow_types::TeamName;
-use heatherhollow_types::UnknownReason;
 
 use crate::call::CallAction;
-use crate::call::EndNote;
-use crate::call::ExecuteCall;
-use crate::call::ForwardedCall;
 use crate::call::ServiceCall;
 use crate::execute::EndedStream;
 use crate::execute::REFUSED_RETRY;
-use crate::execute::run_in_lane;
 use crate::group::GroupHost;
-use crate::group::GroupNews;
 use crate::group::GroupParts;
 use crate::group::GroupRunner;
 use crate::group::GroupTiming;
 use crate::lane::LaneSettings;
 use crate::lane::LaneWatcher;
-use crate::lane::TargetLane;
 use crate::metrics::ProxyMetrics;
 use crate::news::NodeNews;
+use crate::peering::EngineHost;
 use crate::settings::SettingsKeeper;
+use crate::shares::LaneEntry;
+use crate::shares::PermitState;
 use crate::table::DeclaredGroup;
-use crate::table::DeclaredService;
 use crate::table::ServiceTable;
-use crate::transactions::OpenTransaction;
 use crate::transactions::TransactionTable;
 use crate::view::ClusterView;
 use crate::view::MemberView;
@@ -158,41 +133,27 @@
     pub store: Option<Arc<dyn StorePort>>,
 }
 
-struct LaneEntry {
-    team: TeamName,
-    service: ServiceName,
-    target: TargetIndex,
-    lane: Arc<TargetLane>,
-}
-
-struct PermitState {
-    table: PermitTable,
-    previous: Option<LiveView>,
-    /// Permits with a connection of this instance, also those that are lost while it is in use.
-    in_use: Vec<PermitKey>,
-}
-
 /// The engine of one instance.
 pub struct ProxyEngine {
-    settings: EngineSettings,
-    own: CandidateId,
-    clock: Arc<dyn ClockPort>,
-    targets: Arc<dyn TargetDirectory>,
+    pub(crate) settings: EngineSettings,
+    pub(crate) own: CandidateId,
+    pub(crate) clock: Arc<dyn ClockPort>,
+    pub(crate) targets: Arc<dyn TargetDirectory>,
     pub(crate) codec: TokenCodec,
-    metrics: Arc<ProxyMetrics>,
-    peers: OnceLock<Arc<dyn PeerPort>>,
+    pub(crate) metrics: Arc<ProxyMetrics>,
+    pub(crate) peers: OnceLock<Arc<dyn PeerPort>>,
     pub(crate) table: RwLock<Option<Arc<ServiceTable>>>,
-    view: RwLock<ClusterView>,
-    permits: Mutex<PermitState>,
-    lanes: Mutex<Vec<LaneEntry>>,
-    groups: Mutex<Vec<Arc<GroupRunner>>>,
-    transactions: Arc<TransactionTable>,
-    budget: Mutex<RetryBudget>,
-    active_runs: AtomicUsize,
+    pub(crate) view: RwLock<ClusterView>,
+    pub(crate) permits: Mutex<PermitState>,
+    pub(crate) lanes: Mutex<Vec<LaneEntry>>,
+    pub(crate) groups: Mutex<Vec<Arc<GroupRunner>>>,
+    pub(crate) transactions: Arc<TransactionTable>,
+    pub(crate) budget: Mutex<RetryBudget>,
+    pub(crate) active_runs: AtomicUsize,
     pub(crate) streams: AtomicUsize,
-    is_draining: AtomicBool,
-    keeper: SettingsKeeper,
-    itself: Weak<Self>,
+    pub(crate) is_draining: AtomicBool,
+    pub(crate) keeper: SettingsKeeper,
+    pub(crate) itself: Weak<Self>,
 }
 
 impl ProxyEngine {
@@ -457,199 +418,16 @@
         }
     }
 
-    fn announcement(&self) -> NodeNews {
+    pub(crate) fn announcement(&self) -> NodeNews {
         NodeNews::Announce(self.view().own().clone(), self.keeper.digest())
     }
 
-    fn lock_permits(&self) -> std::sync::MutexGuard<'_, PermitState> {
-        self.permits
-            .lock()
-            .expect("no holder of the permit lock panics")
-    }
-
-    fn lock_lanes(&self) -> std::sync::MutexGuard<'_, Vec<LaneEntry>> {
-        self.lanes
-            .lock()
-            .expect("no holder of the lane list panics")
-    }
-
-    /// Works out anew which permits this instance holds.
-    fn assign_permits(self: &Arc<Self>) {
-        let Some(table) = self.table() else { return };
-        let live = self.view().live();
-        let permits = table
-            .services()
-            .iter()
-            .map(|s| s.permits.clone())
-            .collect::<Vec<_>>();
-        let now = self.clock.now();
-        let actions = {
-            let mut state = self.lock_permits();
-            let previous = state.previous.take();
-            let topology = &table.topology;
-            let actions = state
-                .table
-                .assign(&permits, &live, previous.as_ref(), topology, now);
-            state.previous = Some(live);
-            actions
-        };
-        self.apply_permit_actions(actions);
-        self.update_lanes();
-    }
-
-    fn apply_permit_actions(self: &Arc<Self>, actions: Vec<PermitAction>) {
-        let is_change = actions
-            .iter()
-            .any(|action| matches!(action, PermitAction::Use(_) | PermitAction::Close(_)));
-        for action in actions {
-            match action {
-                PermitAction::Ask(peer, key) => self.send(&peer, &NodeNews::AskPermit(key)),
-                PermitAction::GiveBack(peer, key) => self.send(&peer, &NodeNews::GivePermit(key)),
-                // The table takes a held permit for lent until its connection is really closed.
-                PermitAction::Use(key) => {
-                    let mut state = self.lock_permits();
-                    state.table.lend(&key);
-                    if !state.in_use.contains(&key) {
-                        state.in_use.push(key);
-                    }
-                }
-                PermitAction::Close(_) => {}
-            }
-        }
-        if is_change {
-            self.update_lanes();
-        }
-    }
-
     pub(crate) fn send(&self, peer: &InstanceName, news: &NodeNews) {
         if let Some(peers) = self.peers.get() {
             peers.send_control(peer, news.encode());
         }
     }
 
-    /// Gives each lane the permits that are held for it.
-    fn update_lanes(self: &Arc<Self>) {
-        let Some(table) = self.table() else { return };
-        let held = self
-            .lock_permits()
-            .table
-            .held()
-            .cloned()
-            .collect::<Vec<_>>();
-        for service in table.services() {
-            for (i, target) in service.group.settings.targets.iter().enumerate() {
-                let work = service.permits.count.work_range();
-                let permits = held
-                    .iter()
-                    .filter(|key| {
-                        key.team == service.team
-                            && key.service == service.settings.name
-                            && key.target == target.name
-                            && work.contains(&key.permit.0)
-                    })
-                    .map(|key| key.permit)
-                    .collect::<Vec<_>>();
-                self.set_lane_permits(service, TargetIndex(i as u16), &permits);
-            }
-        }
-    }
-
-    fn set_lane_permits(
-        self: &Arc<Self>,
-        service: &Arc<DeclaredService>,
-        target: TargetIndex,
-        permits: &[PermitNumber],
-    ) {
-        let found = self.find_lane(service, target);
-        let lane = match found {
-            Some(lane) => lane,
-            None if permits.is_empty() => return,
-            None => match self.make_lane(service, target) {
-                Some(lane) => lane,
-                None => return,
-            },
-        };
-        lane.set_permits(permits);
-    }
-
-    fn find_lane(&self, service: &DeclaredService, target: TargetIndex) -> Option<Arc<TargetLane>> {
-        let lanes = self.lock_lanes();
-        let found = lanes.iter().find(|entry| {
-            entry.target == target
-                && entry.team == service.team
-                && entry.service == service.settings.name
-        });
-        found.map(|entry| entry.lane.clone())
-    }
-
-    fn make_lane(
-        self: &Arc<Self>,
-        service: &Arc<DeclaredService>,
-        target: TargetIndex,
-    ) -> Option<Arc<TargetLane>> {
-        let runner = self.runner(&service.group)?;
-        let port = runner.target_port(target).clone();
-        let weak = Arc::downgrade(&runner);
-        let watcher: Weak<dyn LaneWatcher> = weak;
-        let parallelism = usize::from(service.settings.slots_per_target.max(1));
-        let queue = QueueSettings {
-            parallelism,
-            ..self.settings.lane.queue.clone()
-        };
-        let settings = LaneSettings {
-            queue,
-            ..self.settings.lane.clone()
-        };
-        let lane = TargetLane::new(
-            service.settings.name.clone(),
-            self.own.instance.clone(),
-            port,
-            self.clock.clone(),
-            watcher,
-            settings,
-        );
-        let entry = LaneEntry {
-            team: service.team.clone(),
-            service: service.settings.name.clone(),
-            target,
-            lane: lane.clone(),
-        };
-        self.lock_lanes().push(entry);
-        Some(lane)
-    }
-
-    /// Gives back lost permits whose connection has been closed.
-    fn finish_releases(self: &Arc<Self>) {
-        let lost = {
-            let state = self.lock_permits();
-            let lost = state.in_use.iter().filter(|key| !state.table.is_held(key));
-            lost.cloned().collect::<Vec<_>>()
-        };
-        let Some(table) = self.table() else { return };
-        for key in lost {
-            if self.is_permit_used(&table, &key) {
-                continue;
-            }
-            let actions = {
-                let mut state = self.lock_permits();
-                state.in_use.retain(|other| *other != key);
-                state.table.give_back(&key)
-            };
-            self.apply_permit_actions(actions);
-        }
-    }
-
-    fn is_permit_used(&self, table: &ServiceTable, key: &PermitKey) -> bool {
-        let Some(service) = table.service(&key.team, &key.service) else {
-            return false;
-        };
-        let Some(target) = service.group.settings.target_index(&key.target) else {
-            return false;
-        };
-        self.find_lane(service, target)
-            .is_some_and(|lane| lane.uses_permit(key.permit))
-    }
-
     /// The runner of a group, started if it was not there; `None` if a target cannot be reached from
     /// this instance.
     pub(crate) fn runner(self: &Arc<Self>, group: &DeclaredGroup) -> Option<Arc<GroupRunner>> {
@@ -692,7 +470,7 @@
     }
 
     /// Stops the runners of groups that are not declared as they were.
-    fn drop_changed_groups(&self, table: &ServiceTable) {
+    pub(crate) fn drop_changed_groups(&self, table: &ServiceTable) {
         let mut groups = self
             .groups
             .lock()
@@ -721,167 +499,11 @@
         }
     }
 
-    fn view_changed(self: &Arc<Self>) {
+    pub(crate) fn view_changed(self: &Arc<Self>) {
         self.assign_permits();
         self.start_observers();
     }
 
-    /// Runs a call at a target: here if this instance holds connections to it, else at a holder.
-    pub(crate) async fn execute(
-        self: &Arc<Self>,
-        service: &Arc<DeclaredService>,
-        runner: &Arc<GroupRunner>,
-        call: ExecuteCall,
-    ) -> Box<dyn AnswerStream> {
-        let is_read = call.call.is_read_only;
-        let target = call.target;
-        runner.load(target).call_started(is_read);
-        let started = self.clock.now();
-        let stream = self.execute_anywhere(service, call).await;
-        Box::new(CountedStream {
-            stream,
-            runner: runner.clone(),
-            target,
-            is_read,
-            started,
-        })
-    }
-
-    async fn execute_anywhere(
-        self: &Arc<Self>,
-        service: &Arc<DeclaredService>,
-        call: ExecuteCall,
-    ) -> Box<dyn AnswerStream> {
-        if self
-            .find_lane(service, call.target)
-            .is_some_and(|lane| lane.has_permits())
-        {
-            return self.execute_here(service, call).await;
-        }
-        let is_read = call.call.is_read_only;
-        let deadline = call.deadline;
-        let holders = self.holders(service, call.target);
-        let body = ForwardedCall::Execute(call).encode();
-        for holder in holders {
-            match self.call_peer(&holder, body.clone(), deadline).await {
-                Ok(stream) => return stream,
-                Err(PeerError::NotSent) => self.metrics.record_retry(RetryReason::NotSent),
-                Err(PeerError::LinkLost | PeerError::Timeout) if is_read => {
-                    let outcome = RequestOutcome::Failed(FailureReason::Interrupted);
-                    return EndedStream::boxed(outcome);
-                }
-                Err(PeerError::LinkLost | PeerError::Timeout) => {
-                    let reason = UnknownReason::ConnectionLost;
-                    return EndedStream::boxed(RequestOutcome::Unknown(reason));
-                }
-            }
-        }
-        EndedStream::refused(RefusalReason::Unreachable, REFUSED_RETRY)
-    }
-
-    /// Instances that hold permits for a target, by this instance's view.
-    fn holders(&self, service: &DeclaredService, target: TargetIndex) -> Vec<InstanceName> {
-        let Some(table) = self.table() else {
-            return Vec::new();
-        };
-        let live = self.view().live();
-        let mut holders = service
-            .permits
-            .count
-            .work_range()
-            .filter_map(|permit| {
-                let permit = PermitNumber(permit);
-                permit_holder(&service.permits, target, permit, &live, &table.topology).cloned()
-            })
-            .filter(|holder| *holder != self.own.instance)
-            .collect::<Vec<_>>();
-        holders.dedup();
-        if !holders.is_empty() {
-            // Spreads the calls over the holders.
-            let shift = self.streams.load(Ordering::Relaxed) % holders.len();
-            holders.rotate_left(shift);
-        }
-        holders
-    }
-
-    pub(crate) async fn call_peer(
-        &self,
-        peer: &InstanceName,
-        body: Bytes,
-        deadline: heatherhollow_types::MonoTime,
-    ) -> Result<Box<dyn AnswerStream>, PeerError> {
-        let peers = self.peers.get().ok_or(PeerError::NotSent)?;
-        let time_left = deadline - self.clock.now();
-        peers.call(peer, PeerCall { body, time_left }).await
-    }
-
-    /// Runs a call on a connection of this instance.
-    async fn execute_here(
-        self: &Arc<Self>,
-        service: &Arc<DeclaredService>,
-        call: ExecuteCall,
-    ) -> Box<dyn AnswerStream> {
-        let Some(lane) = self.find_lane(service, call.target) else {
-            return EndedStream::refused(RefusalReason::Unreachable, REFUSED_RETRY);
-        };
-        let is_begin = call.call.step == CallStep::Begin;
-        if is_begin && !self.may_open_transaction(service, call.target, &lane) {
-            return EndedStream::refused(RefusalReason::TooMany, REFUSED_RETRY);
-        }
-        let (target, term) = (call.target, call.call.term.unwrap_or_default());
-        let team = call.team.clone();
-        match run_in_lane(&lane, call, self.clock.clone()).await {
-            Err(outcome) => EndedStream::boxed(outcome),
-            Ok(stream) if !is_begin => Box::new(stream),
-            Ok(mut stream) => {
-                let mut end = loop {
-                    match stream.next_part().await {
-                        Some(AnswerPart::End(end)) => break end,
-                        Some(_) => {}
-                        None => {
-                            let reason = FailureReason::RolledBack;
-                            return EndedStream::boxed(RequestOutcome::Failed(reason));
-                        }
-                    }
-                };
-                if end.outcome == RequestOutcome::Done
-                    && let Some(mut lent) = stream.take_connection()
-                {
-                    lent.mark_clean(false);
-                    let transaction = OpenTransaction {
-                        team,
-                        service: service.settings.name.clone(),
-                        target,
-                        term,
-                        lent,
-                        idle_limit: service.settings.idle_transaction_limit(),
-                    };
-                    let id = self.transactions.insert(transaction, self.clock.now());
-                    let note = EndNote {
-                        transaction: id.to_string(),
-                        ..EndNote::default()
-                    };
-                    end.extra = note.encode_to_vec();
-                }
-                EndedStream::of(end)
-            }
-        }
-    }
-
-    /// Leaves at least one connection of a lane to single writes and reads, if it has two or more.
-    fn may_open_transaction(
-        &self,
-        service: &DeclaredService,
-        target: TargetIndex,
-        lane: &TargetLane,
-    ) -> bool {
-        let permits = lane.counts().0.permits;
-        let limit = permits.saturating_sub(1).max(1);
-        self.transactions
-            .count_at(&service.team, &service.settings.name, target)
-            < limit
-    }
-
     /// Coordinates a call to a service.
     pub(crate) async fn coordinate(self: &Arc<Self>, call: ServiceCall) -> Box<dyn AnswerStream> {
         let Some(table) = self.table() else {
@@ -906,191 +528,3 @@
         }
     }
 }
-
-#[async_trait]
-impl PeerHandler for ProxyEngine {
-    async fn handle_call(&self, _from: &InstanceName, call: PeerCall) -> Box<dyn AnswerStream> {
-        let Some(engine) = self.itself.upgrade() else {
-            return EndedStream::refused(RefusalReason::Draining, Duration::ZERO);
-        };
-        let now = self.clock.now();
-        match ForwardedCall::decode(&call.body, now, now + call.time_left) {
-            Ok(ForwardedCall::Service(call)) => engine.coordinate(call).await,
-            Ok(ForwardedCall::Execute(call)) => {
-                let table = engine.table();
-                let service = table.and_then(|t| t.service(&call.team, &call.service).cloned());
-                match service {
-                    Some(service) => engine.execute_here(&service, call).await,
-                    None => EndedStream::refused(RefusalReason::UnknownService, Duration::ZERO),
-                }
-            }
-            Err(error) => {
-                log::warn!("peer_call_malformed error=\"{error}\"");
-                EndedStream::refused(RefusalReason::BadRequest, Duration::ZERO)
-            }
-        }
-    }
-
-    fn handle_control(&self, from: &InstanceName, message: Bytes) {
-        let Some(engine) = self.itself.upgrade() else {
-            return;
-        };
-        match NodeNews::decode(&message) {
-            Some(NodeNews::Announce(member, digest)) if member.instance == *from => {
-                engine.keeper.take_digest(&engine, from, digest);
-                let is_changed = self
-                    .view
-                    .write()
-                    .expect("no holder of the view lock panics")
-                    .announce(member);
-                if is_changed {
-                    engine.view_changed();
-                }
-            }
-            Some(NodeNews::Group(group, news)) => engine.take_group_news(from, &group, &news),
-            Some(NodeNews::AskPermit(key)) => {
-                let actions = self.lock_permits().table.asked(from, &key);
-                engine.apply_permit_actions(actions);
-            }
-            Some(NodeNews::GivePermit(key)) => {
-                let actions = self.lock_permits().table.given_back(&key, self.clock.now());
-                engine.apply_permit_actions(actions);
-            }
-            Some(NodeNews::Control(body)) => engine.keeper.take_message(&engine, from, &body),
-            Some(NodeNews::Announce(..)) | None => {}
-        }
-    }
-
-    fn link_changed(&self, peer: &InstanceName, is_up: bool) {
-        let Some(engine) = self.itself.upgrade() else {
-            return;
-        };
-        log::info!("peer_link_changed peer={peer} up={is_up}");
-        if is_up {
-            self.send(peer, &self.announcement());
-            self.keeper.link_up(&engine, peer);
-        }
-        let is_changed = {
-            let mut view = self
-                .view
-                .write()
-                .expect("no holder of the view lock panics");
-            view.set_connected(peer, is_up)
-        };
-        if is_changed {
-            engine.view_changed();
-        }
-    }
-}
-
-impl ProxyEngine {
-    fn take_group_news(self: &Arc<Self>, from: &InstanceName, name: &GroupName, news: &GroupNews) {
-        let groups = self
-            .groups
-            .lock()
-            .expect("no holder of the group list panics");
-        let found = groups.binary_search_by(|runner| runner.name().cmp(name));
-        let Ok(i) = found else { return };
-        let runner = groups[i].clone();
-        drop(groups);
-        let view = self.view();
-        if let Some(member) = view.member(from) {
-            runner.take_news(from, &member.data_centre, news);
-        }
-    }
-}
-
-/// The engine as the runners of its groups see it; does not keep it alive.
-struct EngineHost(Weak<ProxyEngine>);
-
-impl EngineHost {
-    fn observers(
-        &self,
-        engine: &ProxyEngine,
-        group: &GroupName,
-        centres: &[DataCentre],
-    ) -> Vec<InstanceName> {
-        let table = engine.table();
-        let declared = table.as_ref().and_then(|table| table.group(group));
-        declared.map_or_else(Vec::new, |declared| {
-            engine
-                .view()
-                .observers(&declared.team, &declared.settings.name, centres)
-        })
-    }
-}
-
-impl GroupHost for EngineHost {
-    fn observer_rank(&self, group: &GroupName, centres: &[DataCentre]) -> Option<usize> {
-        let engine = self.0.upgrade()?;
-        let observers = self.observers(&engine, group, centres);
-        rank_of(group, &engine.own.instance, &observers)
-    }
-
-    fn tell_observers(&self, group: &GroupName, centres: &[DataCentre], news: GroupNews) {
-        let Some(engine) = self.0.upgrade() else {
-            return;
-        };
-        let news = NodeNews::Group(group.clone(), news);
-        for observer in self.observers(&engine, group, centres) {
-            if observer != engine.own.instance {
-                engine.send(&observer, &news);
-            }
-        }
-    }
-
-    fn active_runs(&self) -> usize {
-        self.0
-            .upgrade()
-            .map_or(0, |engine| engine.active_runs.load(Ordering::Relaxed))
-    }
-
-    fn run_started(&self) {
-        if let Some(engine) = self.0.upgrade() {
-            engine.active_runs.fetch_add(1, Ordering::Relaxed);
-        }
-    }
-
-    fn run_ended(&self) {
-        if let Some(engine) = self.0.upgrade() {
-            engine.active_runs.fetch_sub(1, Ordering::Relaxed);
-        }
-    }
-
-    fn target_lost(&self, group: &GroupName, target: TargetIndex) {
-        let Some(engine) = self.0.upgrade() else {
-            return;
-        };
-        let Some(table) = engine.table() else { return };
-        for service in table.services() {
-            if service.group.full_name == *group
-                && let Some(lane) = engine.find_lane(service, target)
-            {
-                lane.refuse_waiting(RefusalReason::Unreachable);
-            }
-        }
-    }
-}
-
-/// Counts a call as under way until its answer has ended.
-struct CountedStream {
-    stream: Box<dyn AnswerStream>,
-    runner: Arc<GroupRunner>,
-    target: TargetIndex,
-    is_read: bool,
-    started: heatherhollow_types::MonoTime,
-}
-
-#[async_trait]
-impl AnswerStream for CountedStream {
-    async fn next_part(&mut self) -> Option<AnswerPart> {
-        self.stream.next_part().await
-    }
-}
-
-impl Drop for CountedStream {
-    fn drop(&mut self) {
-        let took = self.runner.clock().now().since(self.started);
-        self.runner.load(self.target).call_ended(self.is_read, took);
-    }
-}
--- a/crates/proxy/src/transactions.rs
+++ b/crates/proxy/src/transactions.rs
@@ -151,7 +151,7 @@
     }
 
     /// Removes the transactions that were idle for too long, or all idle ones.
-    pub fn remove_idle(&self, now: MonoTime, is_all: bool) -> Vec<Box<OpenTransaction>> {
+    pub fn remove_idle(&self, now: MonoTime, is_all: bool) -> Vec<OpenTransaction> {
         let mut state = self.lock();
         let removed = state.entries.extract_if(.., |entry| match &entry.state {
             TransactionState::Busy => false,
@@ -161,7 +161,7 @@
         });
         let removed = removed.filter_map(|entry| match entry.state {
             TransactionState::Busy => None,
-            TransactionState::Idle { transaction, .. } => Some(transaction),
+            TransactionState::Idle { transaction, .. } => Some(*transaction),
         });
         removed.collect()
     }
--- a/crates/routing/src/samples.rs
+++ b/crates/routing/src/samples.rs
@@ -17,6 +17,8 @@
 pub(crate) struct PrimarySample {
     /// When it was asked.
     pub asked_at: MonoTime,
+    /// When the same position was first reported in this term.
+    pub first_asked_at: MonoTime,
     /// Term in which it was primary; the term of its last record may be lower.
     pub term: TermNumber,
     /// The end of its log.
@@ -50,10 +52,15 @@
         self.samples.retain(is_kept);
     }
 
-    pub(crate) fn insert(&mut self, sample: PrimarySample) {
+    pub(crate) fn insert(&mut self, mut sample: PrimarySample) {
         if self.samples.iter().any(|old| old.replaces(&sample)) {
             return;
         }
+        let same =
+            |old: &&PrimarySample| old.term == sample.term && old.position == sample.position;
+        if let Some(old) = self.samples.iter().find(same) {
+            sample.first_asked_at = sample.first_asked_at.min(old.first_asked_at);
+        }
         self.samples.retain(|old| !sample.replaces(old));
         let i = self
             .samples
--- a/crates/routing/src/tracker.rs
+++ b/crates/routing/src/tracker.rs
@@ -121,6 +121,7 @@
         if self.is_in_history(position) {
             self.samples.insert(PrimarySample {
                 asked_at,
+                first_asked_at: asked_at,
                 term,
                 position,
             });
@@ -341,7 +342,7 @@
             .position(|sample| self.holds(sample.position, position))?;
         match i.checked_sub(1) {
             Some(before) => Some(interpolate(&samples[before], &samples[i], position)),
-            None => Some(samples[i].asked_at),
+            None => Some(samples[i].first_asked_at),
         }
     }
 
@@ -356,7 +357,8 @@
                 Some(LagMeasure::AtLeast(answered_at - oldest.asked_at))
             }
             Some(i) if i + 1 == samples.len() => {
-                Some(LagMeasure::AtMost(answered_at - samples[i].asked_at))
+                // A later sample of the same position says nothing of the lag: the group was idle.
+                Some(LagMeasure::AtMost(answered_at - samples[i].first_asked_at))
             }
             Some(i) => {
                 let time = interpolate(&samples[i], &samples[i + 1], position);
@@ -382,5 +384,5 @@
         return from.asked_at;
     }
     let share = (part as f64 / whole as f64).min(1.0);
-    from.asked_at + (to.asked_at - from.asked_at).mul_f64(share)
+    from.asked_at + (to.first_asked_at - from.asked_at).mul_f64(share)
 }
--- a/crates/routing/tests/age.rs
+++ b/crates/routing/tests/age.rs
@@ -2,10 +2,13 @@
 
 mod support;
 
+use std::sync::LazyLock;
+
 use heatherhollow_routing::FreshnessTracker;
 use heatherhollow_routing::MAX_SAMPLES;
 use heatherhollow_types::GroupPosition;
 use heatherhollow_types::MonoTime;
+use heatherhollow_types::TargetIndex;
 use heatherhollow_types::TermNumber;
 
 use support::assert_caught;
@@ -67,46 +70,35 @@
     assert_caught(age_is_never_too_low::<OneAnswerSuffices> as fn(_) -> _);
 }
 
-/// Ages of the positions that were written some milliseconds before, with a sample every 100 ms.
-fn tracked_age(ages: &[u64], is_bounded_by_newest: bool) -> Vec<Option<u64>> {
+const SPAN_END: u64 = 90_000;
+
+/// A tracker with a sample every 100 ms, in which the position of a record is the time of its write.
+fn tracker_from(first: u64) -> FreshnessTracker {
     let mut tracker = FreshnessTracker::default();
-    let first = if is_bounded_by_newest {
-        // Broken: keeps the newest samples alone.
-        900 - MAX_SAMPLES as u64
-    } else {
-        0
-    };
-    let now = 900 * 100;
-    for i in first..=900 {
-        tracker.observe_primary(at(i * 100), TermNumber(1), GroupPosition::new(1, i * 100));
+    for time in (first..=SPAN_END).step_by(100) {
+        tracker.observe_primary(at(time), TermNumber(1), GroupPosition::new(1, time));
     }
-    tracker.observe_term_check(at(now), TermNumber(1));
-    ages.iter()
-        .map(|age| {
-            let position = GroupPosition::new(1, now - age);
-            tracker
-                .age_bound(position, at(now))
-                .map(|bound| bound.as_millis() as u64)
-        })
-        .collect()
+    tracker.observe_term_check(at(SPAN_END), TermNumber(1));
+    tracker
 }
 
-fn long_span_is_covered(ages: Vec<u16>, is_bounded_by_newest: bool) -> bool {
-    let ages = ages
-        .iter()
-        .map(|&age| u64::from(age) % 30_000)
-        .collect::<Vec<_>>();
-    let bounds = tracked_age(&ages, is_bounded_by_newest);
-    ages.iter().zip(bounds).all(|(&age, bound)| {
-        bound.is_some_and(|bound| bound >= age && bound <= age + age / 10 + 100)
-    })
+static TRACKER: LazyLock<FreshnessTracker> = LazyLock::new(|| tracker_from(0));
+
+/// Broken: as many samples as fit, but only the newest ones.
+static NEWEST_ONLY: LazyLock<FreshnessTracker> =
+    LazyLock::new(|| tracker_from(SPAN_END - MAX_SAMPLES as u64 * 100));
+
+fn long_span_is_covered(tracker: &FreshnessTracker, age: u16) -> bool {
+    let age = u64::from(age) % 30_000;
+    let bound = tracker.age_bound(GroupPosition::new(1, SPAN_END - age), at(SPAN_END));
+    bound.is_some_and(|bound| bound >= ms(age) && bound <= ms(age + age / 10 + 100))
 }
 
 /// Guards against ages of up to 30 s that become unknown or much too high as samples are removed.
 #[test]
 fn samples_span_thirty_seconds() {
-    assert_holds((|ages| long_span_is_covered(ages, false)) as fn(_) -> _);
-    assert_caught((|ages| long_span_is_covered(ages, true)) as fn(_) -> _);
+    assert_holds((|age| long_span_is_covered(&TRACKER, age)) as fn(_) -> _);
+    assert_caught((|age| long_span_is_covered(&NEWEST_ONLY, age)) as fn(_) -> _);
 }
 
 /// Guards against a lag estimate that is far from a constant true lag.
@@ -114,7 +106,7 @@
 fn lag_estimate_follows_a_constant_lag() {
     for lag in [5, 30, 80, 150, 200, 900] {
         let mut tracker = FreshnessTracker::default();
-        let replica = heatherhollow_types::TargetIndex(1);
+        let replica = TargetIndex(1);
         for i in 20..120 {
             // One record a millisecond; the replica is polled between two samples.
             let (sampled_at, polled_at) = (i * 100, i * 100 + 60);
@@ -134,3 +126,17 @@
         assert!(estimate.mean <= ms(lag + 40), "{lag}: {estimate:?}");
     }
 }
+
+/// Guards against an idle group whose replicas seem to have no lag because they hold everything.
+#[test]
+fn lag_estimate_survives_idle_time() {
+    let mut tracker = FreshnessTracker::default();
+    let replica = TargetIndex(1);
+    for time in (0..20_000).step_by(100) {
+        let written = |time: u64| GroupPosition::new(1, time.min(5_000));
+        tracker.observe_primary(at(time), TermNumber(1), written(time));
+        tracker.observe_replica(replica, at(time + 2), written(time.saturating_sub(150)));
+    }
+    let mean = tracker.lag(replica, at(20_000)).unwrap().mean;
+    assert!(mean >= ms(120) && mean <= ms(180), "{mean:?}");
+}
--- a/crates/routing/tests/route.rs
+++ b/crates/routing/tests/route.rs
@@ -143,25 +143,19 @@
 
 /// Random states of targets; the broken variant hides that they are out of use.
 fn avoids_unusable(states: Vec<(u8, u8)>, lag: u8, hides_state: bool) -> bool {
-    let views = states
-        .iter()
-        .take(5)
-        .enumerate()
-        .map(|(i, &(flags, busy))| TargetView {
-            is_leaving: flags & 3 == 0,
-            is_suspected: flags & 12 == 0,
+    let views_of = |hides_state: bool| {
+        let states = states.iter().take(5).enumerate();
+        let views = states.map(|(i, &(flags, busy))| TargetView {
+            is_leaving: flags & 3 == 0 && !hides_state,
+            is_suspected: flags & 12 == 0 && !hides_state,
             is_remote: flags & 16 == 0,
             slots: u32::from(flags >> 5),
             in_flight: u32::from(busy),
             ..view(i as u16)
-        })
-        .collect::<Vec<_>>();
-    let seen = views.iter().cloned().map(|view| TargetView {
-        is_leaving: view.is_leaving && !hides_state,
-        is_suspected: view.is_suspected && !hides_state,
-        ..view
-    });
-    let seen = seen.collect::<Vec<_>>();
+        });
+        views.collect::<Vec<_>>()
+    };
+    let (views, seen) = (views_of(false), views_of(hides_state));
     let is_usable = |target: TargetIndex| {
         let view = &views[target.as_usize()];
         !view.is_leaving && !view.is_suspected && view.slots > 0
--- a/crates/routing/tests/session.rs
+++ b/crates/routing/tests/session.rs
@@ -30,6 +30,7 @@
 /// Parts of the read path; broken ones replace them.
 trait ReadRule {
     const RECORDS_UNKNOWN: bool = true;
+    const SETTLES_CONFIRMED_ONLY: bool = true;
     fn check(
         group: &SimGroup,
         head: &AnswerHead,
@@ -88,14 +89,23 @@
     const RECORDS_UNKNOWN: bool = false;
 }
 
+/// Broken: settles unknown writes by positions that can be lost.
+struct SettlesEarly;
+
+impl ReadRule for SettlesEarly {
+    const SETTLES_CONFIRMED_ONLY: bool = false;
+}
+
 /// A read on its way.
 struct OpenRead {
     target: usize,
     head: AnswerHead,
     need: ReadRequirement,
     max_age: Duration,
-    /// Writes of the session that the answer has to show.
-    wanted: Vec<WriteRecord>,
+    /// Acknowledged writes of the session; the answer has to show them.
+    done: Vec<WriteRecord>,
+    /// Unknown writes that the primary had; the answer has to show those that are not lost since.
+    unknown: Vec<WriteRecord>,
     shown: Option<Vec<WriteRecord>>,
 }
 
@@ -160,10 +170,8 @@
             RouteChoice::Refuse { .. } => return,
         };
         let primary_log = &group.targets[group.true_primary()].log;
-        let survivors = self
-            .unknown
-            .iter()
-            .filter(|&record| primary_log.contains(record));
+        let mut unknown = self.unknown.clone();
+        unknown.retain(|record| primary_log.contains(record));
         self.reads.push(OpenRead {
             target,
             head: AnswerHead {
@@ -173,7 +181,8 @@
             },
             need: query.requirement,
             max_age,
-            wanted: self.done.iter().chain(survivors).copied().collect(),
+            done: self.done.clone(),
+            unknown,
             shown: None,
         });
     }
@@ -198,13 +207,17 @@
             };
             match R::check(group, &read.head, read.need, read.max_age) {
                 AnswerCheck::Good { age_bound } => {
-                    is_right &= read.wanted.iter().all(|record| shown.contains(record));
+                    let log = &group.targets[group.true_primary()].log;
+                    let kept = read.unknown.iter().filter(|&record| log.contains(record));
+                    let mut wanted = read.done.iter().chain(kept);
+                    is_right &= wanted.all(|record| shown.contains(record));
                     let limit = age_bound.min(read.max_age.max(group.now - read.head.asked_at));
                     is_right &= group
                         .first_missing(shown)
                         .is_none_or(|time| group.now - time <= limit);
-                    if read.head.primary_term.is_some() {
-                        self.token.observe_primary(&self.name, read.head.position);
+                    let last = shown.last().map(|record| group.committed[record.1]);
+                    if !R::SETTLES_CONFIRMED_ONLY || last.flatten().is_some() {
+                        self.token.settle_unknown(&self.name, read.head.position);
                     }
                 }
                 AnswerCheck::Lost => {
@@ -232,12 +245,15 @@
         reads: Vec::new(),
     };
     steps.into_iter().all(|(kind, pick)| {
+        // A promotion between a term check and a read takes time, so the two never share a time.
+        group.now = group.now + Duration::from_micros(1);
         match kind {
-            0..=15 => session.write(&mut group),
-            16..=31 => session.give_up::<R>(),
-            32..=63 => session.read(&group, ms([0, 20, 1_000][usize::from(pick) % 3])),
+            0..=23 => session.write(&mut group),
+            24..=31 => session.give_up::<R>(),
+            32..=63 => session.read(&group, ms([0, 20, 1_000, 1_000][usize::from(pick) % 4])),
             64..=95 => session.serve(&group),
-            96..=127 => return session.finish::<R>(&group),
+            96..=119 => return session.finish::<R>(&group),
+            120..=127 => group.observe_all::<RealObserver>(),
             _ => group.step::<RealObserver>(kind, pick),
         }
         session.take_outcomes(&group);
@@ -254,3 +270,29 @@
     assert_caught(session_sees_its_writes::<AnyPrimary> as fn(_) -> _);
     assert_caught(session_sees_its_writes::<NoUnknown> as fn(_) -> _);
 }
+
+/// Guards against an unknown write that comes back after a later term's record, by which it was
+/// settled, was lost with its primary. Random steps rarely lead there; these were found by a long run.
+#[test]
+fn unknown_write_is_settled_by_a_confirmed_position() {
+    let steps = vec![
+        (0, 0),   // a write, which target 1 receives
+        (141, 1), //
+        (0, 0),   // a write that stays at target 0 and ends as unknown
+        (24, 0),
+        (219, 0), // target 0 is cut off, target 1 is promoted and read after another write
+        (120, 0),
+        (32, 0),
+        (0, 0),
+        (64, 0),
+        (155, 0),
+        (120, 0),
+        (96, 0),
+        (155, 1), // target 1 is cut off, target 0 is promoted; a read goes to target 1
+        (32, 1),
+        (64, 0),
+        (96, 0),
+    ];
+    assert!(session_sees_its_writes::<RealRead>(steps.clone()));
+    assert!(!session_sees_its_writes::<SettlesEarly>(steps));
+}
--- a/crates/routing/tests/support/group.rs
+++ b/crates/routing/tests/support/group.rs
@@ -126,15 +126,14 @@
             0..=6 => self.now = self.now + super::ms(pick as u64 % 8 + 1),
             7..=12 => drop(self.write(pick % TARGETS)),
             13..=26 => self.replicate(pick % TARGETS, pick / TARGETS % 4 + 1),
-            27 => match self.cut_off.take() {
-                None => self.promote(pick),
-                Some(_) => {} // the target is reachable again
-            },
+            27 if self.cut_off.take().is_none() => self.promote(pick),
+            27 => {} // the target is reachable again
             28..=35 => self.ask(pick % TARGETS),
             36..=41 => self.serve(pick),
             42..=47 => self.deliver::<O>(pick),
             48..=51 => self.begin_check(),
-            52..=60 => self.answer_check(pick),
+            52..=59 => self.answer_check(pick),
+            60 => self.observe_all::<O>(),
             _ => self.deliver_check::<O>(pick),
         }
     }
@@ -256,6 +255,22 @@
         }
     }
 
+    /// Calls to all targets whose answers arrive at once.
+    pub fn observe_all<O: ObserverRule>(&mut self) {
+        let asked_at = self.now;
+        self.calls.clear();
+        for target in 0..TARGETS {
+            self.ask(target);
+            self.serve(target);
+        }
+        (0..TARGETS).for_each(|_| self.deliver::<O>(0));
+        let term = self.known_primary.1;
+        let kept = |target: &&SimTarget| target.promised <= term;
+        if O::is_majority(self.targets.iter().filter(kept).count()) {
+            self.tracker.observe_term_check(asked_at, TermNumber(term));
+        }
+    }
+
     fn begin_check(&mut self) {
         if self.checks.len() == MAX_OPEN_CALLS {
             self.checks.remove(0);
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -23,18 +23,25 @@
     Duration::from_millis(millis)
 }
 
-fn runner(tests: u64) -> (u64, QuickCheck) {
-    let seed = std::env::var("HEATHERHOLLOW_TEST_SEED")
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or_else(|| RandomState::new().hash_one(0));
+fn setting(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+fn runner(cases: u64) -> (u64, QuickCheck) {
+    let seed = setting("HEATHERHOLLOW_TEST_SEED").unwrap_or_else(|| RandomState::new().hash_one(0));
     let random = Gen::from_size_and_seed(400, seed);
-    (seed, QuickCheck::new().rng(random).tests(tests))
+    (
+        seed,
+        QuickCheck::new()
+            .rng(random)
+            .tests(cases)
+            .max_tests(cases * 10),
+    )
 }
 
 /// Panics with the seed if the property does not hold.
 pub fn assert_holds(property: impl Testable) {
-    let (seed, mut runner) = runner(300);
+    let (seed, mut runner) = runner(setting("HEATHERHOLLOW_TEST_CASES").unwrap_or(300));
     if let Err(result) = runner.quicktest(property) {
         panic!("HEATHERHOLLOW_TEST_SEED={seed}: {result:?}");
     }
--- a/crates/session/src/token.rs
+++ b/crates/session/src/token.rs
@@ -11,6 +11,10 @@
 //! a session has resolved its write and another still has the mark, the mark stays, and reads go to
 //! the primary.
 //!
+//! Dropping a mark relies on a position that a majority of the targets have. A service that
+//! acknowledges at the primary alone can lose that position, and until the loss is noticed a read may
+//! miss an uncertain write that survived in its place.
+//!
 //! Limit rule. Of more than [`MAX_TOKEN_GROUPS`] entries, those with the smallest group names stay
 //! and the token is marked as overflowed. An overflowed token knows nothing of groups whose names
 //! come after its last entry; these count as uncertain, and merging or recording never adds them
@@ -176,20 +180,25 @@
         self.record_write(group, position);
     }
 
-    /// Uses a read at the primary to replace a mark of an earlier term by a position.
+    /// Replaces a mark of an earlier term by a position that is held by a majority of the targets.
     ///
-    /// `head` is the position of an answer of a primary that is known to have led the group when it
-    /// answered. Without a mark of an earlier term nothing changes.
-    pub fn observe_primary(&mut self, group: &GroupName, head: GroupPosition) {
+    /// The position can be that of an answer, of this or any other session. A position that only the
+    /// primary holds must not be used: if it is lost with the primary, the next one may have the
+    /// uncertain write after all. Without a mark of an earlier term nothing changes.
+    pub fn settle_unknown(&mut self, group: &GroupName, confirmed: GroupPosition) {
         if let Ok(i) = self.find(group)
             && self.entries[i]
                 .uncertain
-                .is_some_and(|term| term < head.term)
+                .is_some_and(|term| term < confirmed.term)
         {
-            self.record_write(group, head);
+            self.record_write(group, confirmed);
         }
     }
 
+    /// Does nothing. It took the position of a primary's answer, which can be lost with the primary.
+    #[deprecated = "call settle_unknown with a position that a majority of the targets have"]
+    pub fn observe_primary(&mut self, _group: &GroupName, _head: GroupPosition) {}
+
     /// Records that a position was lost in a promotion.
     ///
     /// The position is replaced by a mark of its term. Earlier writes of the session, whose positions
--- a/crates/standin/tests/replication.rs
+++ b/crates/standin/tests/replication.rs
@@ -108,6 +108,25 @@
     assert!(group.faults.rows(&target(0)).is_empty());
 }
 
+/// Guards against a fenced replica that still takes records of the old primary, and against a fence
+/// that does not stop records which are waiting (requirement 1).
+#[tokio::test(start_paused = true)]
+async fn a_fenced_replica_takes_no_records_of_lower_terms() {
+    let group = test_group(|s| s.targets[1].lag = 50 * MS);
+    group.call(0, single("put k v")).await.unwrap();
+    let port = group.port(1);
+    assert!(
+        port.fence(TermNumber(2), &candidate("i0"))
+            .await
+            .unwrap()
+            .is_accepted
+    );
+    group.call(0, single("put l v")).await.unwrap();
+    sleep(500 * MS).await;
+    let rows = [0, 1, 2].map(|index| group.faults.rows(&target(index)).len());
+    assert_eq!(rows, [2, 0, 2]);
+}
+
 /// Guards against two candidates that hold one promise, and against a promotion without a promise
 /// (requirements 1 and 2).
 #[tokio::test(start_paused = true)]
@@ -251,12 +270,15 @@
             .unwrap();
         while !connection.next_part().await.unwrap().is_end() {}
     }
+    group.faults.restart(&target(1));
+    sleep(500 * MS).await;
+    assert_eq!(group.faults.rows(&target(1)).len(), 600);
     group.faults.kill(&target(0));
     group.faults.restart(&target(0));
-    group.faults.restart(&target(1));
+    group.call(0, single("put k600 v")).await.unwrap();
     sleep(500 * MS).await;
     for index in 0..3 {
-        assert_eq!(group.faults.rows(&target(index)).len(), 600);
+        assert_eq!(group.faults.rows(&target(index)).len(), 601);
     }
     group.faults.set_leaving(&target(2), true);
     assert!(group.port(2).status().await.unwrap().is_leaving);
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -138,9 +138,18 @@
     }
 }
 
+/// Runs a call; one that hangs for longer than any test waits on purpose fails the test.
 pub async fn call(
     connection: &mut Box<dyn TargetConnection>,
     call: TargetCall,
+) -> Result<WholeAnswer, TargetError> {
+    let answer = timeout(Duration::from_secs(120), whole_answer(connection, call));
+    answer.await.expect("the call hangs")
+}
+
+async fn whole_answer(
+    connection: &mut Box<dyn TargetConnection>,
+    call: TargetCall,
 ) -> Result<WholeAnswer, TargetError> {
     connection.begin_call(call).await?;
     let AnswerPart::Head(head) = connection.next_part().await? else {
--- a/crates/standin/tests/target.rs
+++ b/crates/standin/tests/target.rs
@@ -334,6 +334,15 @@
     assert!(status.is_ok() && head.is_ok());
     // Two messages, 10 ms of work and the stall.
     assert_eq!(start.elapsed(), 512 * MS);
+    while !connection.next_part().await.unwrap().is_end() {}
+    group.call(0, single("put k2 v")).await.unwrap();
+    // The second row is due 20 ms after the first one, within the stall.
+    connection.begin_call(single("scan k 20")).await.unwrap();
+    sleep(15 * MS).await;
+    let start = Instant::now();
+    group.faults.stall(&target(0), 300 * MS);
+    while !connection.next_part().await.unwrap().is_end() {}
+    assert_eq!(start.elapsed(), 301 * MS);
 }
 
 /// Guards against killed targets that still answer, run something or forget what is on disk.
