--- a/crates/control/examples/slopes.rs
+++ b/crates/control/examples/slopes.rs
@@ -288,6 +288,7 @@
         "measure": "start of all instances within 5 s", "nodes": deployment.nodes.len(),
         "seconds_until_all_are_known": result.seconds,
         "sent_bytes_mean": result.sent.mean, "sent_bytes_highest": result.sent.highest,
+        "bytes_between_regions": result.far_bytes,
     }));
 }
 
--- a/crates/control/examples/slopes/result.rs
+++ b/crates/control/examples/slopes/result.rs
@@ -42,6 +42,8 @@
     pub store_writes: f64,
     pub settings_seconds: f64,
     pub gone_seconds: f64,
+    /// Bytes a second between regions, all pairs and directions.
+    pub far_bytes: f64,
     pub most_observed: usize,
     pub false_suspicions: u64,
 }
@@ -64,7 +66,7 @@
             "store_writes_a_second": self.store_writes,
             "settings_seconds_highest": self.settings_seconds,
             "gone_everywhere_seconds": self.gone_seconds,
-            "most_observed_groups": self.most_observed,
+            "bytes_between_regions": self.far_bytes, "most_observed_groups": self.most_observed,
             "members_held_gone_wrongly": self.false_suspicions,
         })
     }
--- a/crates/control/src/probe.rs
+++ b/crates/control/src/probe.rs
@@ -22,6 +22,7 @@
 use crate::message::ProbeMessage;
 use crate::message::ProbeRequest;
 use crate::rank::LiveView;
+use crate::rank::centre_relays;
 use crate::rank::mix_bits;
 use crate::relay::RelayExchange;
 use crate::settings::TopologySettings;
@@ -35,6 +36,12 @@
 /// Without a change of members for this long, unknown names of the instance list are tried less often.
 const HINT_SETTLED: Duration = Duration::from_secs(30);
 
+/// Differing digests that lead to an exchange of records while the own one stays the same.
+const DIFFERING_DIGESTS: u32 = 3;
+
+/// Longest time between two exchanges while they change nothing.
+const EXCHANGE_WAIT_LIMIT: Duration = Duration::from_secs(60);
+
 /// Times of failure detection.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ProbeTiming {
@@ -44,7 +51,8 @@
     pub direct_wait: Duration,
     /// Time in which a suspected member may refute.
     pub suspicion: Duration,
-    /// Differing digests are acted on after this time; until then updates are still spreading.
+    /// Differing digests are acted on when the own one has not changed for this time; until then
+    /// updates are still spreading.
     pub digest_wait: Duration,
     /// A gap between two own ticks that is longer than this restarts all waits.
     pub own_pause: Duration,
@@ -56,7 +64,7 @@
             period: Duration::from_secs(1),
             direct_wait: Duration::from_millis(300),
             suspicion: Duration::from_secs(4),
-            digest_wait: Duration::from_secs(10),
+            digest_wait: Duration::from_secs(5),
             own_pause: Duration::from_secs(1),
         }
     }
@@ -81,11 +89,54 @@
     sent_at: MonoTime,
 }
 
-/// Digests that differ from those of a data centre's members.
+/// Comparison of the own digest with those of others.
+///
+/// Updates on probes settle most differences, and then the own digest changes. Differences that come
+/// up several times while it stays the same need an exchange of records. A match with one member says
+/// nothing about the others, so it does not end the count: two groups of members with different views
+/// would otherwise keep each other from it.
 #[derive(Debug, Clone)]
-struct DigestMismatch {
-    centre: DataCentre,
+struct DigestComparison {
+    own: u64,
     since: MonoTime,
+    differing: u32,
+    next_exchange: MonoTime,
+    exchange_wait: Duration,
+}
+
+impl DigestComparison {
+    fn new(now: MonoTime) -> Self {
+        Self {
+            own: 0,
+            since: now,
+            differing: 0,
+            next_exchange: now,
+            exchange_wait: Duration::ZERO,
+        }
+    }
+
+    /// Whether an exchange of records is due.
+    fn compare(&mut self, own: u64, other: u64, timing: &ProbeTiming, now: MonoTime) -> bool {
+        if own != self.own {
+            *self = Self {
+                own,
+                exchange_wait: timing.digest_wait,
+                ..Self::new(now)
+            };
+        }
+        if own == other {
+            return false;
+        }
+        self.differing += 1;
+        let is_quiet = now.since(self.since) >= timing.digest_wait;
+        if !is_quiet || self.differing < DIFFERING_DIGESTS || now < self.next_exchange {
+            return false;
+        }
+        self.differing = 0;
+        self.next_exchange = now + self.exchange_wait;
+        self.exchange_wait = (self.exchange_wait * 2).min(EXCHANGE_WAIT_LIMIT);
+        true
+    }
 }
 
 /// Failure detection of one instance, with its table of members.
@@ -97,7 +148,7 @@
     open: Option<OpenProbe>,
     relayed: Vec<RelayedProbe>,
     pub(crate) exchanges: Vec<RelayExchange>,
-    mismatches: Vec<DigestMismatch>,
+    comparison: DigestComparison,
     sequence: u32,
     pub(crate) periods: u64,
     next_period: MonoTime,
@@ -106,8 +157,8 @@
     view_stamp: (u64, Vec<DataCentre>),
     settings_digest: u64,
     pub(crate) is_replaced: bool,
-    hints: Vec<InstanceName>,
-    unknown_hints: Vec<InstanceName>,
+    hints: Vec<(InstanceName, DataCentre)>,
+    unknown_hints: Vec<(InstanceName, DataCentre)>,
     /// Version of the table for which `unknown_hints` holds, and when it was reached.
     hint_stamp: (u64, MonoTime),
 }
@@ -125,7 +176,7 @@
             open: None,
             relayed: Vec::new(),
             exchanges: Vec::new(),
-            mismatches: Vec::new(),
+            comparison: DigestComparison::new(now),
             sequence: 0,
             periods: 0,
             next_period: now,
@@ -168,12 +219,13 @@
         self.table.leave(now);
     }
 
-    /// Takes the names of the instance list.
+    /// Takes the names and data centres of the instance list.
     ///
-    /// Those that are not known as members are asked for their records, one a period. Without this,
-    /// instances that start together and know one other each may end in groups that never meet.
-    pub fn set_hints(&mut self, names: impl IntoIterator<Item = InstanceName>) {
-        self.hints = names.into_iter().collect();
+    /// Those that are not known as members are asked for their records, one a period, first those of
+    /// the own data centre; only relays ask in other ones. Without this, instances that start together
+    /// and know one other each may end in groups that never meet.
+    pub fn set_hints(&mut self, hints: impl IntoIterator<Item = (InstanceName, DataCentre)>) {
+        self.hints = hints.into_iter().collect();
         self.hint_stamp.0 = u64::MAX;
     }
 
@@ -232,7 +284,8 @@
             let known = entries.filter(|r| r.state != MemberState::Gone);
             let mut names: Vec<_> = known.map(|r| &r.name).collect();
             names.sort();
-            let is_unknown = |hint: &&InstanceName| names.binary_search(hint).is_err();
+            let is_unknown =
+                |hint: &&(InstanceName, DataCentre)| names.binary_search(&&hint.0).is_err();
             self.unknown_hints = self.hints.iter().filter(is_unknown).cloned().collect();
             self.hint_stamp = (self.table.version(), now);
         }
@@ -240,11 +293,18 @@
         if is_settled && !self.periods.is_multiple_of(GONE_PROBE_PERIODS) {
             return None;
         }
-        let count = u64::try_from(self.unknown_hints.len())
+        let own = self.table.own();
+        let is_near = |hint: &&(InstanceName, DataCentre)| hint.1 == own.centre;
+        let mut candidates: Vec<_> = self.unknown_hints.iter().filter(is_near).collect();
+        let relays = centre_relays(&self.view, &own.centre);
+        if candidates.is_empty() && relays.iter().any(|relay| relay.name == own.name) {
+            candidates = self.unknown_hints.iter().collect();
+        }
+        let count = u64::try_from(candidates.len())
             .ok()
             .filter(|count| *count > 0)?;
         let at = usize::try_from(mix_bits(random ^ 0x1157) % count).ok()?;
-        Some(self.join(&self.unknown_hints[at]))
+        Some(self.join(&candidates[at].0))
     }
 
     pub(crate) fn next_sequence(&mut self) -> u32 {
@@ -507,29 +567,17 @@
             }
         }
         self.table.merge_beats(&probe.beats, topology, now);
-        let centre = match self.table.find_near(from) {
-            Some(entry) => entry.record.centre.clone(),
+        if self.table.find_near(from).is_none() {
             // The sender is not known here, so the views differ in any case.
-            None => return vec![ControlSend::new(from, self.digests_body())],
-        };
-        let found = self.mismatches.iter().position(|m| m.centre == centre);
-        match (probe.members_digest == self.table.digest(), found) {
-            (true, Some(at)) => {
-                self.mismatches.swap_remove(at);
-                Vec::new()
-            }
-            (true, None) => Vec::new(),
-            (false, None) => {
-                self.mismatches.push(DigestMismatch { centre, since: now });
-                Vec::new()
-            }
-            (false, Some(at)) => {
-                if now.since(self.mismatches[at].since) < self.timing.digest_wait {
-                    return Vec::new();
-                }
-                self.mismatches.swap_remove(at);
-                vec![ControlSend::new(from, self.digests_body())]
-            }
+            return vec![ControlSend::new(from, self.digests_body())];
+        }
+        let own = self.table.digest();
+        let is_due = self
+            .comparison
+            .compare(own, probe.members_digest, &self.timing, now);
+        match is_due {
+            true => vec![ControlSend::new(from, self.digests_body())],
+            false => Vec::new(),
         }
     }
 }
--- a/crates/experiment/src/cluster.rs
+++ b/crates/experiment/src/cluster.rs
@@ -170,6 +170,7 @@
             incarnation: Incarnation(incarnation),
             data_centre: centre.clone(),
             region: region.name.clone(),
+            jitter_seed: Some(self.settings.seed.wrapping_mul(31) ^ point_seed(&instance)),
             ..self.settings.engine.clone()
         };
         let key = TokenKey::new(1, &[7; 32]).expect("a key of 32 bytes");
@@ -213,6 +214,11 @@
     }
 }
 
+/// Number that differs between instances and is the same in every run.
+fn point_seed(instance: &InstanceName) -> u64 {
+    heatherhollow_control::stable_hash(&[instance.as_str()])
+}
+
 fn network_settings(deployment: &Deployment) -> NetworkSettings {
     let topology = &deployment.topology;
     let centres = topology.data_centres();
--- a/crates/experiment/src/scenario.rs
+++ b/crates/experiment/src/scenario.rs
@@ -169,6 +169,14 @@
     let state = lock(&state);
     history.check_writes(&final_rows(&state.cluster));
     check_connections(&state.cluster, &history);
+    let statuses = state.cluster.group.faults().statuses();
+    let targets = statuses.iter().map(|(name, status)| {
+        format!(
+            "{name} {:?} promised={} end={}",
+            status.role, status.promised, status.end
+        )
+    });
+    let targets = targets.collect::<Vec<_>>();
     let gaps = gap_starts
         .iter()
         .map(|at| history.longest_gap(*at, GAP_SPAN))
@@ -187,6 +195,7 @@
         "seconds": scenario.length.as_secs(),
         "gaps_ms": millis,
         "term": term,
+        "targets": targets,
         "bytes_across_regions": crossing,
         "store_reads": store.reads,
         "store_writes": store.writes,
--- a/crates/experiment/src/workload.rs
+++ b/crates/experiment/src/workload.rs
@@ -391,6 +391,7 @@
         None
     };
     let end = tokio::select! {
+        biased;
         end = work => end,
         _ = target.is_killed.wait_for(|is_killed| *is_killed) => None,
     };
--- a/crates/heatherhollow/src/options.rs
+++ b/crates/heatherhollow/src/options.rs
@@ -57,6 +57,10 @@
     pub listen: SocketAddr,
     /// Address for peers.
     pub peer_listen: SocketAddr,
+    /// Address for operators.
+    pub operator_listen: SocketAddr,
+    /// Tokens for operators, each as TEAM=TOKEN or *=TOKEN.
+    pub operator_tokens: Vec<String>,
     /// Peers to dial.
     pub peers: Vec<PeerAddress>,
     /// Name of the cluster.
@@ -119,6 +123,18 @@
         default: "127.0.0.1:7101",
         help: "address and port for other instances",
     },
+    OptionSpec {
+        name: "operator-listen",
+        hint: "ADDRESS",
+        default: "127.0.0.1:7102",
+        help: "address and port for operators",
+    },
+    OptionSpec {
+        name: "operator-tokens",
+        hint: "LIST",
+        default: "",
+        help: "tokens for operators, as TEAM=TOKEN, or *=TOKEN for all teams, separated by commas",
+    },
     OptionSpec {
         name: "peers",
         hint: "LIST",
@@ -282,7 +298,8 @@
 
 impl OptionValue {
     fn line(&self) -> String {
-        let is_secret = self.name.contains("secret") && !self.value.is_empty();
+        let is_secret_name = self.name.contains("secret") || self.name == "operator-tokens";
+        let is_secret = is_secret_name && !self.value.is_empty();
         let value = if is_secret { "(hidden)" } else { &self.value };
         format!("{}={value} source={}", self.name, self.source)
     }
@@ -373,6 +390,10 @@
             self.errors.push(OptionError::Conflict(text.to_string()));
         }
         let peers = self.peers();
+        let mut operator_tokens = self.list("operator-tokens");
+        if operator_tokens.is_empty() && is_embedded {
+            operator_tokens.push(format!("*={EMBEDDED_SECRET}"));
+        }
         let peer_secret = self.secret("peer-secret", is_embedded);
         let token_secret = self.secret("token-secret", is_embedded);
         let instance = self.parse("instance");
@@ -380,6 +401,7 @@
         let region = self.parse("region");
         let listen = self.parse("listen");
         let peer_listen = self.parse("peer-listen");
+        let operator_listen = self.parse("operator-listen");
         let embedded_lag = self.millis("embedded-lag-ms");
         let drain_limit = self.millis("drain-limit-ms");
         let declarations = self.text("declarations");
@@ -389,6 +411,8 @@
             region: region?,
             listen: listen?,
             peer_listen: peer_listen?,
+            operator_listen: operator_listen?,
+            operator_tokens,
             peers,
             cluster: self.text("cluster"),
             peer_secret,
--- a/crates/heatherhollow/src/serve.rs
+++ b/crates/heatherhollow/src/serve.rs
@@ -1,5 +1,6 @@
 //! Wires the engine, the peer link and the HTTP interface, and runs them until a stop is asked for.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -20,10 +21,12 @@
 use heatherhollow_ports::TokioClock;
 use heatherhollow_proxy::EngineParts;
 use heatherhollow_proxy::EngineSettings;
+use heatherhollow_proxy::OperatorTokens;
 use heatherhollow_proxy::ProxyEngine;
 use heatherhollow_proxy::ProxyMetrics;
 use heatherhollow_proxy::TargetDirectory;
 use heatherhollow_proxy::api;
+use heatherhollow_proxy::operator;
 use heatherhollow_session::TokenCodec;
 use heatherhollow_session::TokenKey;
 use heatherhollow_types::Incarnation;
@@ -49,6 +52,8 @@
     TokenKey(String),
     /// the interface for callers cannot start: {0}
     Callers(String),
+    /// the interface for operators cannot start: {0}
+    Operators(String),
     /// signals cannot be handled: {0}
     Signals(std::io::Error),
 }
@@ -56,6 +61,8 @@
 /// Runs the proxy until it is told to stop.
 pub async fn run(settings: ProgramSettings) -> Result<(), ServeError> {
     let incarnation = Incarnation(unix_micros());
+    let tokens = OperatorTokens::parse(&settings.operator_tokens)
+        .map_err(|error| ServeError::Operators(error.to_string()))?;
     let (targets, store) = start_platform(&settings).await?;
     let engine = ProxyEngine::new(EngineParts {
         settings: EngineSettings {
@@ -74,7 +81,7 @@
     });
     let peers = start_peers(&settings, incarnation, &engine).await?;
     engine.start();
-    let rocket = rocket::custom(http_config(&settings))
+    let rocket = rocket::custom(http_config(settings.listen))
         .manage(engine.clone())
         .mount("/", api::routes())
         .register("/", api::catchers())
@@ -89,12 +96,17 @@
         .await
         .map_err(|error| ServeError::Callers(error.to_string()))?;
     let shutdown = rocket.shutdown();
+    let operators = ignite_operators(settings.operator_listen, &engine, tokens).await?;
+    let operators_shutdown = operators.shutdown();
     let mut terminate = signal(SignalKind::terminate()).map_err(ServeError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(ServeError::Signals)?;
     let server = tokio::spawn(rocket.launch());
     let mut server = std::pin::pin!(server);
+    let operators = tokio::spawn(operators.launch());
+    let mut operators = std::pin::pin!(operators);
     tokio::select! {
-        ended = &mut server => return server_end(ended),
+        ended = &mut server => return server_end(ended, ServeError::Callers),
+        ended = &mut operators => return server_end(ended, ServeError::Operators),
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
@@ -104,11 +116,37 @@
         _ = terminate.recv() => log_cut(&engine),
         _ = interrupt.recv() => log_cut(&engine),
     }
+    operators_shutdown.notify();
     shutdown.notify();
     let ended = server.await;
+    let _ = operators.await;
     peers.shutdown().await;
     log::info!("stopped instance={}", settings.instance);
-    server_end(ended)
+    server_end(ended, ServeError::Callers)
+}
+
+async fn ignite_operators(
+    listen: SocketAddr,
+    engine: &Arc<ProxyEngine>,
+    tokens: OperatorTokens,
+) -> Result<rocket::Rocket<rocket::Ignite>, ServeError> {
+    let rocket = rocket::custom(http_config(listen))
+        .manage(engine.clone())
+        .manage(tokens)
+        .mount("/", operator::routes())
+        .register("/", operator::catchers())
+        .attach(AdHoc::on_liftoff("operators started", |rocket| {
+            Box::pin(async move {
+                let config = rocket.config();
+                log::info!(
+                    "operators_listen address={}:{}",
+                    config.address,
+                    config.port
+                );
+            })
+        }));
+    let ignited = rocket.ignite().await;
+    ignited.map_err(|error| ServeError::Operators(error.to_string()))
 }
 
 type Platform = (Arc<dyn TargetDirectory>, Option<Arc<dyn StorePort>>);
@@ -166,10 +204,10 @@
     Ok(TokenCodec::new(keys.collect::<Result<Vec<_>, _>>()?))
 }
 
-fn http_config(settings: &ProgramSettings) -> Config {
+fn http_config(listen: SocketAddr) -> Config {
     Config {
-        address: settings.listen.ip(),
-        port: settings.listen.port(),
+        address: listen.ip(),
+        port: listen.port(),
         log_level: rocket::config::LogLevel::Off,
         cli_colors: false,
         shutdown: ShutdownConfig {
@@ -203,11 +241,12 @@
 
 fn server_end<T>(
     ended: Result<Result<T, rocket::Error>, tokio::task::JoinError>,
+    error: fn(String) -> ServeError,
 ) -> Result<(), ServeError> {
     match ended {
         Ok(Ok(_)) => Ok(()),
-        Ok(Err(error)) => Err(ServeError::Callers(error.to_string())),
-        Err(error) => Err(ServeError::Callers(error.to_string())),
+        Ok(Err(cause)) => Err(error(cause.to_string())),
+        Err(cause) => Err(error(cause.to_string())),
     }
 }
 
--- a/crates/heatherhollowctl/src/main.rs
+++ b/crates/heatherhollowctl/src/main.rs
@@ -1,2 +1,12 @@
-//! x
-fn main() {}
+//! The operators' program.
+
+use std::io;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments = std::env::args().skip(1).collect::<Vec<_>>();
+    let environment = |name: &str| std::env::var(name).ok();
+    let (mut output, mut notes) = (io::stdout(), io::stderr());
+    let status = heatherhollowctl::run(&arguments, &environment, &mut output, &mut notes);
+    ExitCode::from(status.code())
+}
--- /dev/null
+++ b/crates/heatherhollowctl/src/requests.rs
@@ -0,0 +1,162 @@
+//! Commands that are one request each.
+
+use std::time::SystemTime;
+
+use serde_json::Value;
+use serde_json::json;
+
+use heatherhollow_types::TeamName;
+
+use crate::CommandError;
+use crate::Console;
+use crate::client::ServerClient;
+use crate::options::CommandLine;
+
+/// Id of a change: time and process, so that no two changes share one.
+pub(crate) fn new_change_id() -> String {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let micros = since.unwrap_or_default().as_micros();
+    let thread = format!("{:?}", std::thread::current().id());
+    let thread = thread.chars().filter(char::is_ascii_digit);
+    let thread = thread.collect::<String>();
+    format!("ctl-{micros}-{}-{thread}", std::process::id())
+}
+
+/// Prints the stored settings of a team.
+pub(crate) fn get(
+    team: &TeamName,
+    line: &CommandLine,
+    console: &mut Console<'_>,
+) -> Result<(), CommandError> {
+    let client = ServerClient::new(line);
+    let body = client
+        .get(&format!("/operator/settings/{team}"))?
+        .into_body()?;
+    if line.is_json {
+        console.line(&body);
+        return Ok(());
+    }
+    console.note(format!(
+        "revision {} by {}, change {}",
+        body["revision"],
+        text_of(&body["author"]),
+        text_of(&body["change_id"])
+    ));
+    console.line(format!("{:#}", body["settings"]));
+    Ok(())
+}
+
+/// Prints the recent changes of a team, newest first.
+pub(crate) fn history(
+    team: &TeamName,
+    line: &CommandLine,
+    console: &mut Console<'_>,
+) -> Result<(), CommandError> {
+    let client = ServerClient::new(line);
+    let body = client
+        .get(&format!("/operator/settings/{team}"))?
+        .into_body()?;
+    let changes = body["recent_changes"].as_array();
+    let changes = changes.into_iter().flatten().rev();
+    if line.is_json {
+        let changes = changes.collect::<Vec<_>>();
+        console.line(json!({
+            "team": team,
+            "revision": body["revision"],
+            "author": body["author"],
+            "changes": changes,
+        }));
+        return Ok(());
+    }
+    for (i, change) in changes.enumerate() {
+        let change = text_of(change);
+        match i {
+            0 => console.line(format!(
+                "{change}  revision {} by {}",
+                body["revision"],
+                text_of(&body["author"])
+            )),
+            _ => console.line(change),
+        }
+    }
+    Ok(())
+}
+
+/// Takes the instance that is asked out of service.
+pub(crate) fn drain_instance(
+    name: &str,
+    line: &CommandLine,
+    console: &mut Console<'_>,
+) -> Result<(), CommandError> {
+    let path = format!("/operator/drain/instance/{name}");
+    let body = post(&path, line)?;
+    if line.is_json {
+        console.line(&body);
+        return Ok(());
+    }
+    let open = &body["open"];
+    console.line(format!(
+        "{name} is leaving, with {} answers and {} transactions open; stop its process when \
+         heatherhollowctl status shows none",
+        open["answers"], open["transactions"]
+    ));
+    Ok(())
+}
+
+/// Marks a target as leaving, or reverts it.
+pub(crate) fn drain_target(
+    group: &str,
+    target: &str,
+    line: &CommandLine,
+    console: &mut Console<'_>,
+) -> Result<(), CommandError> {
+    let undo = if line.is_undo { "/undo" } else { "" };
+    let path = format!("/operator/drain/target/{group}/{target}{undo}");
+    let body = post(&path, line)?;
+    if line.is_json {
+        console.line(&body);
+        return Ok(());
+    }
+    let state = match line.is_undo {
+        true => "is not leaving",
+        false => "is leaving",
+    };
+    let since = match body["outcome"].as_str() {
+        Some("unchanged") => "it was so before; the settings have",
+        _ => "stored as",
+    };
+    console.line(format!(
+        "{group}/{target} {state}: {since} revision {}",
+        body["revision"]
+    ));
+    Ok(())
+}
+
+/// Makes a target the primary of its group.
+pub(crate) fn promote(
+    group: &str,
+    target: &str,
+    line: &CommandLine,
+    console: &mut Console<'_>,
+) -> Result<(), CommandError> {
+    console.note(format!(
+        "waiting until {target} has caught up and is primary"
+    ));
+    let body = post(&format!("/operator/promote/{group}/{target}"), line)?;
+    match line.is_json {
+        true => console.line(&body),
+        false => console.line(format!("{group}: primary {target}, term {}", body["term"])),
+    }
+    Ok(())
+}
+
+fn post(path: &str, line: &CommandLine) -> Result<Value, CommandError> {
+    let body = json!({ "change_id": new_change_id(), "author": line.author });
+    ServerClient::new(line).post(path, &body)?.into_body()
+}
+
+/// A text without its quotes.
+pub(crate) fn text_of(value: &Value) -> String {
+    let text = value.as_str();
+    text.map_or_else(|| value.to_string(), str::to_string)
+}
--- a/crates/limits/src/pool.rs
+++ b/crates/limits/src/pool.rs
@@ -98,6 +98,8 @@
     settings: PoolSettings,
     /// Sorted by permit.
     slots: Vec<PoolSlot>,
+    /// Connections that have not answered since this time are checked before they are lent.
+    doubted_at: Option<MonoTime>,
 }
 
 impl ConnectionPool {
@@ -106,6 +108,7 @@
         Self {
             settings,
             slots: Vec::new(),
+            doubted_at: None,
         }
     }
 
@@ -148,6 +151,11 @@
         to_close
     }
 
+    /// Notes that a connection seems to have gone silent; the others may have, too.
+    pub fn doubt(&mut self, now: MonoTime) {
+        self.doubted_at = Some(now);
+    }
+
     /// Takes an idle connection for a request; `is_strict` for one that may not be repeated.
     pub fn take(&mut self, is_strict: bool, now: MonoTime) -> PoolChoice {
         // The connection used last is the least likely to have gone silent.
@@ -162,7 +170,9 @@
         let Some((since, slot)) = freshest else {
             return PoolChoice::Wait;
         };
-        if is_strict && now.since(since) > self.settings.check_after {
+        let is_old = is_strict && now.since(since) > self.settings.check_after;
+        let is_doubted = self.doubted_at.is_some_and(|doubted_at| since <= doubted_at);
+        if is_old || is_doubted {
             slot.state = SlotState::Checking;
             return PoolChoice::Check(slot.permit);
         }
@@ -242,7 +252,9 @@
         for slot in &mut self.slots {
             let is_due = matches!(
                 slot.state,
-                SlotState::Idle { since } if now.since(since) >= keep_alive
+                SlotState::Idle { since }
+                    if now.since(since) >= keep_alive
+                        || self.doubted_at.is_some_and(|doubted_at| since <= doubted_at)
             );
             if is_due {
                 slot.state = SlotState::Checking;
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -4,6 +4,8 @@
 //! the coordinator chooses the target and hands an [`ExecuteCall`] to an instance that holds
 //! connections to it. Each of the three may be the same instance.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use displaydoc::Display;
 use prost::Message;
@@ -86,6 +88,8 @@
     pub kind: CallKind,
     /// Whether the connection has to be known to work.
     pub is_strict: bool,
+    /// For a read: time without an answer after which its connection is given up.
+    pub doubt_after: Option<Duration>,
     /// The call.
     pub call: TargetCall,
     /// When it arrived at this instance.
@@ -148,6 +152,9 @@
     is_read_only: bool,
     #[prost(uint32, tag = "16")]
     step: u32,
+    /// 0: none.
+    #[prost(uint32, tag = "17")]
+    doubt_millis: u32,
 }
 
 const ACTION_READ: u32 = 1;
@@ -254,6 +261,7 @@
         is_strict: call.is_strict,
         is_read_only: *is_read_only,
         step: index_of(&STEPS, step),
+        doubt_millis: call.doubt_after.map_or(0, |span| span.as_millis() as u32),
         ..CallMessage::default()
     }
 }
@@ -344,6 +352,8 @@
         target: TargetIndex(target),
         kind: *kind,
         is_strict: message.is_strict,
+        doubt_after: (message.doubt_millis > 0)
+            .then(|| Duration::from_millis(message.doubt_millis.into())),
         call: TargetCall {
             statement: message.statement,
             step: *step,
@@ -383,9 +393,9 @@
     /// Term in which a write with unknown effect was sent; 0 for none.
     #[prost(uint64, tag = "5")]
     pub uncertain_term: u64,
-    /// Position that the session no longer has to wait for, since it was lost; 0 for none.
+    /// Whether a majority of the targets holds the position of the answer's head.
     #[prost(bool, tag = "6")]
-    pub is_position_lost: bool,
+    pub is_head_settled: bool,
 }
 
 impl EndNote {
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -14,7 +14,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use prost::Message;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 use heatherhollow_control::GroupSettings;
 use heatherhollow_control::PermitTable;
@@ -23,7 +25,6 @@
 use heatherhollow_limits::RetrySettings;
 use heatherhollow_ports::AnswerStream;
 use heatherhollow_ports::ClockPort;
-use heatherhollow_ports::PeerHandler;
 use heatherhollow_ports::PeerPort;
 use heatherhollow_ports::StorePort;
 use heatherhollow_ports::TargetPort;
@@ -41,12 +42,10 @@
 use crate::call::ServiceCall;
 use crate::execute::EndedStream;
 use crate::execute::REFUSED_RETRY;
-use crate::group::GroupHost;
 use crate::group::GroupParts;
 use crate::group::GroupRunner;
 use crate::group::GroupTiming;
 use crate::lane::LaneSettings;
-use crate::lane::LaneWatcher;
 use crate::metrics::ProxyMetrics;
 use crate::news::NodeNews;
 use crate::peering::EngineHost;
@@ -88,6 +87,8 @@
     pub tick_interval: Duration,
     /// Most answers on their way at once.
     pub max_streams: usize,
+    /// Seed of all jitter; none takes one from the system.
+    pub jitter_seed: Option<u64>,
 }
 
 impl Default for EngineSettings {
@@ -106,6 +107,7 @@
             stall_limit: Duration::from_secs(30),
             tick_interval: Duration::from_millis(100),
             max_streams: 20_000,
+            jitter_seed: None,
         }
     }
 }
@@ -149,6 +151,7 @@
     pub(crate) groups: Mutex<Vec<Arc<GroupRunner>>>,
     pub(crate) transactions: Arc<TransactionTable>,
     pub(crate) budget: Mutex<RetryBudget>,
+    jitter: Mutex<SmallRng>,
     pub(crate) active_runs: AtomicUsize,
     pub(crate) streams: AtomicUsize,
     pub(crate) is_draining: AtomicBool,
@@ -188,6 +191,10 @@
         Arc::new_cyclic(|itself| Self {
             transactions: Arc::new(TransactionTable::new(own.clone())),
             budget: Mutex::new(RetryBudget::new(settings.retry.clone())),
+            jitter: Mutex::new(match settings.jitter_seed {
+                Some(seed) => SmallRng::seed_from_u64(seed),
+                None => SmallRng::seed_from_u64(rand::random()),
+            }),
             own,
             clock,
             targets,
@@ -327,6 +334,14 @@
         is_allowed
     }
 
+    /// A random number, for jitter.
+    pub(crate) fn random(&self) -> u64 {
+        self.jitter
+            .lock()
+            .expect("no holder of the jitter lock panics")
+            .next_u64()
+    }
+
     /// Whether the instance is about to stop.
     pub fn is_draining(&self) -> bool {
         self.is_draining.load(Ordering::Relaxed)
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -357,10 +357,8 @@
                 if let Some(position) = end.position.filter(|p| p.position > LogPosition(0)) {
                     self.token.record_write(&self.group, position);
                 }
-                if let (true, false, Some(head)) = (self.is_read, note.is_replica, head)
-                    && self.requirement == ReadRequirement::Primary
-                {
-                    self.token.observe_primary(&self.group, head);
+                if let (true, Some(head)) = (note.is_head_settled, head) {
+                    self.token.settle_unknown(&self.group, head);
                 }
             }
             RequestOutcome::Unknown(_) => {
--- a/crates/proxy/src/execute.rs
+++ b/crates/proxy/src/execute.rs
@@ -27,6 +27,13 @@
 use crate::lane::LentConnection;
 use crate::lane::TargetLane;
 
+/// Interval at which a call that waits for its answer looks at whether connections have gone silent.
+const SILENCE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time without an answer after which the connection of a write or of a step of a transaction is
+/// doubted. It goes on waiting, unless a check shows that connections have gone silent.
+const WRITE_DOUBT: Duration = Duration::from_millis(400);
+
 /// Time to come back that is named when a target has refused a call.
 pub(crate) const REFUSED_RETRY: Duration = Duration::from_millis(250);
 
@@ -61,7 +68,10 @@
 pub struct TargetStream {
     lent: Option<LentConnection>,
     clock: Arc<dyn ClockPort>,
+    started_at: MonoTime,
     deadline: MonoTime,
+    /// Time without any part of the answer after which the connection is doubted.
+    doubt_after: Option<Duration>,
     is_read_only: bool,
     is_ended: bool,
 }
@@ -77,6 +87,44 @@
         self.lent = None;
         AnswerPart::End(AnswerEnd::of(outcome))
     }
+
+    /// Waits for the next part, up to the deadline or until the connection is taken for silent.
+    async fn wait_part(&mut self) -> Result<AnswerPart, RequestOutcome> {
+        let is_read_only = self.is_read_only;
+        let Some(lent) = self.lent.as_mut() else {
+            return Err(outcome_of(&TargetError::ConnectionLost, is_read_only));
+        };
+        let lane = lent.lane().clone();
+        let mut part = lent.connection().next_part();
+        if let Some(span) = self.doubt_after.take() {
+            let limit = span.min(self.deadline - self.clock.now());
+            if let Ok(part) = timeout(limit, &mut part).await {
+                return part.map_err(|error| outcome_of(&error, is_read_only));
+            }
+            lane.doubt();
+            if is_read_only && self.clock.now() < self.deadline {
+                // A read is repeated on another connection, which is checked before.
+                return Err(RequestOutcome::Failed(FailureReason::Interrupted));
+            }
+        }
+        loop {
+            let left = self.deadline - self.clock.now();
+            if left.is_zero() {
+                return Err(if is_read_only {
+                    RequestOutcome::Failed(FailureReason::DeadlinePassed)
+                } else {
+                    RequestOutcome::Unknown(UnknownReason::DeadlinePassed)
+                });
+            }
+            if let Ok(part) = timeout(left.min(SILENCE_INTERVAL), &mut part).await {
+                return part.map_err(|error| outcome_of(&error, is_read_only));
+            }
+            // Others of the lane have gone silent since the call was sent: this one has, too.
+            if lane.was_silent_after(self.started_at) {
+                return Err(outcome_of(&TargetError::ConnectionLost, is_read_only));
+            }
+        }
+    }
 }
 
 #[async_trait]
@@ -85,27 +133,15 @@
         if self.is_ended {
             return None;
         }
-        let left = self.deadline - self.clock.now();
-        let lent = self.lent.as_mut()?;
-        let part = timeout(left, lent.connection().next_part()).await;
-        let part = match part {
-            Ok(Ok(part)) => part,
-            Ok(Err(error)) => {
-                let outcome = outcome_of(&error, self.is_read_only);
-                return Some(self.end(outcome));
-            }
-            Err(_) if self.is_read_only => {
-                let outcome = RequestOutcome::Failed(FailureReason::DeadlinePassed);
-                return Some(self.end(outcome));
-            }
-            Err(_) => {
-                let outcome = RequestOutcome::Unknown(UnknownReason::DeadlinePassed);
-                return Some(self.end(outcome));
-            }
+        let part = match self.wait_part().await {
+            Ok(part) => part,
+            Err(outcome) => return Some(self.end(outcome)),
         };
         if part.is_end() {
             self.is_ended = true;
-            lent.mark_clean(true);
+            if let Some(lent) = &mut self.lent {
+                lent.mark_clean(true);
+            }
         }
         Some(part)
     }
@@ -134,27 +170,33 @@
 }
 
 /// Starts a call on a connection that the caller holds.
+///
+/// A read whose answer has not begun after `doubt_after` is given up; its connection is closed.
 pub async fn run_on(
     mut lent: LentConnection,
     call: TargetCall,
     clock: Arc<dyn ClockPort>,
     deadline: MonoTime,
+    doubt_after: Option<Duration>,
 ) -> Result<TargetStream, RequestOutcome> {
     let is_read_only = call.is_read_only;
     lent.mark_clean(false);
-    let left = deadline - clock.now();
-    let started = timeout(left, lent.connection().begin_call(call)).await;
+    let started_at = clock.now();
+    let started = timeout(deadline - started_at, lent.connection().begin_call(call)).await;
     match started {
-        Ok(Ok(())) => {
-            let lent = Some(lent);
-            Ok(TargetStream {
-                lent,
-                clock,
-                deadline,
-                is_read_only,
-                is_ended: false,
-            })
-        }
+        Ok(Ok(())) => Ok(TargetStream {
+            lent: Some(lent),
+            clock,
+            started_at,
+            deadline,
+            doubt_after: if is_read_only {
+                doubt_after
+            } else {
+                Some(WRITE_DOUBT)
+            },
+            is_read_only,
+            is_ended: false,
+        }),
         Ok(Err(error)) => Err(outcome_of(&error, is_read_only)),
         Err(_) if is_read_only => Err(RequestOutcome::Failed(FailureReason::DeadlinePassed)),
         Err(_) => Err(RequestOutcome::Unknown(UnknownReason::DeadlinePassed)),
@@ -183,5 +225,5 @@
             Duration::ZERO,
         ));
     }
-    run_on(lent, call.call, clock, call.deadline).await
+    run_on(lent, call.call, clock, call.deadline, call.doubt_after).await
 }
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -38,6 +38,7 @@
 use heatherhollow_ports::TargetRole;
 use heatherhollow_ports::TargetStatus;
 use heatherhollow_routing::FreshnessTracker;
+use heatherhollow_types::AckMode;
 use heatherhollow_types::CandidateId;
 use heatherhollow_types::DataCentre;
 use heatherhollow_types::GroupName;
@@ -54,6 +55,10 @@
 /// Silence of its primary after which a replica is told again whom to follow.
 const ASTRAY_AFTER: Duration = Duration::from_secs(1);
 
+/// Silence of the primary towards a replica from which the replica is not expected to confirm writes.
+/// Holding writes back keeps them from running where they would be lost.
+const UNCONFIRMABLE_SILENCE: Duration = Duration::from_millis(350);
+
 /// Timing of a [`GroupRunner`].
 #[derive(Debug, Clone, PartialEq)]
 pub struct GroupTiming {
@@ -128,6 +133,9 @@
     /// Counts a run that has ended.
     fn run_ended(&self);
 
+    /// A random number, for jitter.
+    fn random(&self) -> u64;
+
     /// Refuses what waits for a connection to a target.
     fn target_lost(&self, group: &GroupName, target: TargetIndex);
 }
@@ -187,6 +195,7 @@
     /// Smoothed time of a status call to each target.
     pub round_trips: Vec<Option<Duration>>,
     monitor_settings: MonitorSettings,
+    isolated_since: Option<MonoTime>,
     last_used: MonoTime,
     last_news: MonoTime,
 }
@@ -300,6 +309,7 @@
             planned: None,
             round_trips: vec![None; targets],
             monitor_settings: parts.timing.monitor.clone(),
+            isolated_since: None,
             last_used: parts.clock.now(),
             last_news: MonoTime::ZERO,
         };
@@ -468,6 +478,16 @@
             .await
     }
 
+    /// Waits for a primary of which writes can be confirmed.
+    pub async fn wait_writable(&self, deadline: MonoTime) -> Option<KnownPrimary> {
+        let now = self.clock.now();
+        if let Some(primary) = self.lock().writable_primary(now) {
+            return Some(primary);
+        }
+        self.wait_for(deadline, |state, now| state.writable_primary(now))
+            .await
+    }
+
     async fn watch_target(&self, i: usize) {
         let target = TargetIndex(i as u16);
         loop {
@@ -642,7 +662,7 @@
             let (suspicion, primary, was_suspected) = {
                 let mut state = self.lock();
                 let was_suspected = state.suspicion.suspected_since().is_some();
-                state.suspicion = state.monitor.tick(now);
+                state.update_suspicion(now);
                 (state.suspicion, state.primary, was_suspected)
             };
             let Some(primary) = primary else {
@@ -730,6 +750,49 @@
             .filter(|primary| !is_suspected && !self.is_fenced(*primary))
     }
 
+    /// The primary for a write: one of which writes can be confirmed at present.
+    pub fn writable_primary(&self, now: MonoTime) -> Option<KnownPrimary> {
+        self.usable_primary()
+            .filter(|primary| self.can_confirm(*primary, now))
+    }
+
+    /// Whether so many other targets still hear from the primary that a write can be confirmed.
+    fn can_confirm(&self, primary: KnownPrimary, now: MonoTime) -> bool {
+        let others = self.reports.iter().enumerate();
+        let others = others.filter(|(i, _)| *i != primary.target.as_usize());
+        let hearing = others.filter(|(_, seen)| {
+            seen.as_ref().is_some_and(|seen| {
+                let silent_for = seen.report.primary_silent_for.unwrap_or_default();
+                seen.report.promised <= primary.term
+                    && silent_for < UNCONFIRMABLE_SILENCE
+                    && now.since(seen.answered_at) < UNCONFIRMABLE_SILENCE * 3
+            })
+        });
+        hearing.count() + 1 >= majority_of(self.reports.len())
+    }
+
+    /// Suspects a primary that this instance does not reach, and one that a majority of the targets
+    /// does not hear from: it may still answer, but no write of it can be confirmed.
+    fn update_suspicion(&mut self, now: MonoTime) {
+        self.suspicion = self.monitor.tick(now);
+        let threshold = self.monitor.threshold();
+        let deaf = self.reports.iter().flatten().filter(|seen| {
+            now.since(seen.answered_at) <= UNCONFIRMABLE_SILENCE
+                && seen
+                    .report
+                    .primary_silent_for
+                    .is_some_and(|span| span >= threshold)
+        });
+        if deaf.count() < majority_of(self.reports.len()) {
+            self.isolated_since = None;
+            return;
+        }
+        let since = *self.isolated_since.get_or_insert(now);
+        if self.suspicion.suspected_since().is_none() {
+            self.suspicion = Suspicion::Suspected { since };
+        }
+    }
+
     /// Whether a majority has promised a higher term than the primary's, so that no write of it can
     /// be confirmed any more.
     fn is_fenced(&self, primary: KnownPrimary) -> bool {
@@ -827,6 +890,18 @@
         true
     }
 
+    /// Whether a majority of the targets is known to hold a position that a primary showed.
+    pub(crate) fn is_settled(&self, primary: KnownPrimary, position: GroupPosition) -> bool {
+        let write = PendingWrite {
+            position,
+            term: primary.term,
+            primary: primary.target,
+            answered_at: MonoTime::ZERO,
+            mode: AckMode::Replicated,
+        };
+        self.confirmation(&write) == Some(Confirmation::Confirmed)
+    }
+
     /// Whether a write may be acknowledged.
     fn confirmation(&self, write: &PendingWrite) -> Option<Confirmation> {
         match self.confirmer.check(write) {
--- a/crates/proxy/src/lane.rs
+++ b/crates/proxy/src/lane.rs
@@ -110,6 +110,8 @@
     idle: Vec<IdleConnection>,
     next_ticket: u64,
     has_retry_timer: bool,
+    /// When a connection was last found silent.
+    silent_at: Option<MonoTime>,
 }
 
 /// The connections of this instance to one target for one service, with their queue.
@@ -141,6 +143,7 @@
             idle: Vec::new(),
             next_ticket: 0,
             has_retry_timer: false,
+            silent_at: None,
         };
         Arc::new(Self {
             service,
@@ -291,11 +294,31 @@
         if is_good {
             return Some(lent);
         }
-        log::info!("connection_silent service={} permit={permit}", self.service);
+        self.note_silent(permit);
         lent.connection = None;
         None
     }
 
+    fn note_silent(&self, permit: PermitNumber) {
+        log::info!("connection_silent service={} permit={permit}", self.service);
+        let now = self.clock.now();
+        self.lock().silent_at = Some(now);
+    }
+
+    /// Notes that a request got no answer for longer than expected: checks the idle connections now,
+    /// and the others before they are lent again.
+    pub fn doubt(self: &Arc<Self>) {
+        let now = self.clock.now();
+        self.lock().pool.doubt(now);
+        let lane = self.clone();
+        tokio::spawn(async move { lane.check_idle().await });
+    }
+
+    /// Whether a connection was found silent after `since`.
+    pub fn was_silent_after(&self, since: MonoTime) -> bool {
+        self.lock().silent_at.is_some_and(|at| at > since)
+    }
+
     fn lend(
         self: &Arc<Self>,
         permit: PermitNumber,
@@ -511,6 +534,11 @@
             .as_mut()
     }
 
+    /// The lane that the connection goes back to.
+    pub fn lane(&self) -> &Arc<TargetLane> {
+        &self.lane
+    }
+
     /// Says whether the whole answer to the last call was read and no transaction is open.
     pub fn mark_clean(&mut self, is_clean: bool) {
         self.is_clean = is_clean;
--- a/crates/proxy/src/peering.rs
+++ b/crates/proxy/src/peering.rs
@@ -175,6 +175,10 @@
         }
     }
 
+    fn random(&self) -> u64 {
+        self.0.upgrade().map_or(0, |engine| engine.random())
+    }
+
     fn target_lost(&self, group: &GroupName, target: TargetIndex) {
         let Some(engine) = self.0.upgrade() else {
             return;
--- a/crates/proxy/src/promotion.rs
+++ b/crates/proxy/src/promotion.rs
@@ -16,6 +16,7 @@
 use heatherhollow_failover::PromotionTrigger;
 use heatherhollow_failover::RunTarget;
 use heatherhollow_failover::SilenceReport;
+use heatherhollow_failover::majority_of;
 use heatherhollow_ports::FenceReply;
 use heatherhollow_ports::TargetError;
 use heatherhollow_ports::TargetStatus;
@@ -39,6 +40,10 @@
 /// Afterwards a target that returns learns it from the status loop of whoever observes the group.
 const FOLLOW_SPAN: Duration = Duration::from_secs(60);
 
+/// Age up to which a target's last answer shows that it can be reached. Observers ask each target
+/// every 500 ms or more often.
+const REACHABLE_SPAN: Duration = Duration::from_millis(900);
+
 /// Result of a call that a run has asked for.
 enum RunEvent {
     Fenced(TargetIndex, MonoTime, Result<FenceReply, TargetError>),
@@ -55,11 +60,14 @@
         let active_runs = self.host().active_runs();
         let run = {
             let mut state = self.lock();
-            let input_trigger = state.promotion_trigger(now);
+            let trigger = state.promotion_trigger(now);
+            if !state.can_reach_majority(now) {
+                return;
+            }
             let replicas = state.silence_reports();
             let peers = state.peer_suspicions(now);
             let input = JudgeInput {
-                trigger: input_trigger,
+                trigger,
                 threshold: state.monitor.threshold(),
                 replicas: &replicas,
                 peers: &peers,
@@ -200,10 +208,11 @@
                     run.term()
                 );
                 self.metrics().record_promotion("abandoned");
+                let random = self.host().random();
                 let mut state = self.lock();
                 state.planned = None;
                 state.highest.observe_promised(highest_promised);
-                state.judge.run_failed(now, rand::random());
+                state.judge.run_failed(now, random);
             }
         }
     }
@@ -293,16 +302,37 @@
 }
 
 impl GroupState {
-    fn promotion_trigger(&self, now: MonoTime) -> PromotionTrigger {
+    fn promotion_trigger(&mut self, now: MonoTime) -> PromotionTrigger {
+        let established = self.highest.established();
+        let promised = self
+            .reports
+            .iter()
+            .flatten()
+            .map(|seen| seen.report.promised)
+            .max();
+        let unfinished =
+            self.judge
+                .unfinished_since(established, promised.unwrap_or(established), now);
         if let Some((_, since)) = self.planned {
             return PromotionTrigger::Planned { since };
         }
+        if let Some(since) = unfinished {
+            return PromotionTrigger::Unfinished { since };
+        }
         if self.primary.is_none() && self.needs_first_primary() {
             return PromotionTrigger::Planned { since: now };
         }
         PromotionTrigger::Suspicion(self.suspicion)
     }
 
+    /// Whether so many targets have answered lately that a run can succeed. A run on the smaller side
+    /// of a partition would only raise the promised terms there, and cost a promotion after the heal.
+    fn can_reach_majority(&self, now: MonoTime) -> bool {
+        let reports = self.reports.iter().flatten();
+        let answered = reports.filter(|seen| now.since(seen.answered_at) <= REACHABLE_SPAN);
+        answered.count() >= majority_of(self.reports.len())
+    }
+
     /// Whether every target has answered lately and none is primary, as after a run that ended
     /// between its promises and its promotion while this instance was starting.
     fn needs_first_primary(&self) -> bool {
--- a/crates/proxy/src/reads.rs
+++ b/crates/proxy/src/reads.rs
@@ -50,6 +50,9 @@
 /// Age from which a target's last status no longer shows that it can be reached.
 const SUSPECT_AFTER: Duration = Duration::from_millis(1_200);
 
+/// Shortest time without an answer after which the connection of a read is given up.
+const MIN_READ_DOUBT: Duration = Duration::from_millis(300);
+
 /// Longest wait for the check that the primary has not been replaced.
 const LEADER_CHECK_LIMIT: Duration = Duration::from_secs(1);
 
@@ -73,6 +76,8 @@
     kind: ReadKind,
     /// Targets that have failed this read.
     failed: Vec<TargetIndex>,
+    /// Targets whose connection broke or fell silent under this read.
+    interrupted: Vec<TargetIndex>,
 }
 
 /// What is known of an answer when its head has been checked.
@@ -104,7 +109,7 @@
             deadline: call.deadline,
         };
         let engine = self.clone();
-        let failed = Vec::new();
+        let (failed, interrupted) = (Vec::new(), Vec::new());
         let task = ReadTask {
             engine,
             service,
@@ -113,11 +118,13 @@
             query,
             kind,
             failed,
+            interrupted,
         };
         let (sender, receiver) = mpsc::channel(BUFFERED_PARTS);
         tokio::spawn(async move {
             let mut task = task;
             tokio::select! {
+                biased;
                 () = task.run(&sender) => {}
                 // The caller has left: dropping the attempt closes its connection.
                 () = sender.closed() => {}
@@ -140,7 +147,7 @@
                 Err(AttemptError::Final(outcome)) => return end_with(sender, outcome).await,
                 Err(AttemptError::Retry(reason, outcome)) => {
                     last = outcome;
-                    if attempt + 1 < MAX_ATTEMPTS && !self.engine.allow_retry(reason) {
+                    if attempt + 1 < MAX_ATTEMPTS && !self.may_retry(reason, outcome) {
                         break;
                     }
                 }
@@ -149,6 +156,29 @@
         end_with(sender, last).await;
     }
 
+    /// Time without an answer after which a connection is given up. A read that was interrupted once
+    /// waits to its deadline, since its statement may simply be slow.
+    fn doubt_after(&self, target: TargetIndex) -> Option<Duration> {
+        let usual = self.runner.load(target).statement_time();
+        self.interrupted
+            .is_empty()
+            .then(|| MIN_READ_DOUBT.max(usual * 8))
+    }
+
+    /// Whether another target may be tried. A read that did not run has cost no target anything, so it
+    /// does not count against the budget.
+    fn may_retry(&self, reason: RetryReason, outcome: RequestOutcome) -> bool {
+        if let RequestOutcome::NotRun {
+            reason: RefusalReason::Unreachable,
+            ..
+        } = outcome
+        {
+            self.engine.metrics().record_retry(reason);
+            return true;
+        }
+        self.engine.allow_retry(reason)
+    }
+
     async fn choose(&self) -> Result<TargetIndex, RequestOutcome> {
         let mut has_waited = false;
         loop {
@@ -249,6 +279,7 @@
             target,
             kind: CallKind::Read,
             is_strict: false,
+            doubt_after: self.doubt_after(target),
             call: TargetCall {
                 statement: self.call.statement.clone(),
                 step: CallStep::Single,
@@ -277,6 +308,8 @@
                         .to_string(),
                     is_replica: !is_primary,
                     age_micros: age_bound.as_micros() as u64,
+                    is_head_settled: primary
+                        .is_some_and(|primary| self.runner.lock().is_settled(primary, head)),
                     ..EndNote::default()
                 };
                 Ok(GoodAnswer { stream, head, note })
@@ -291,6 +324,13 @@
 
     fn attempt_failed(&mut self, target: TargetIndex, outcome: RequestOutcome) -> AttemptError {
         let reason = match outcome {
+            RequestOutcome::Failed(FailureReason::Interrupted)
+                if !self.interrupted.contains(&target) =>
+            {
+                // The connection may be to blame and not the target, so that it is tried once more.
+                self.interrupted.push(target);
+                return AttemptError::Retry(RetryReason::ConnectionLost, outcome);
+            }
             RequestOutcome::Failed(FailureReason::Interrupted) => RetryReason::ConnectionLost,
             RequestOutcome::NotRun { reason, .. } => match reason {
                 RefusalReason::NoPrimary => RetryReason::NotPrimary,
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -8,6 +8,7 @@
 
 use heatherhollow_control::ControlBody;
 use heatherhollow_control::SettingsSpread;
+use heatherhollow_control::SettingsTable;
 use heatherhollow_control::SpreadAction;
 use heatherhollow_ports::StoreEntry;
 use heatherhollow_ports::StoreError;
@@ -42,6 +43,8 @@
     /// Taken alone.
     spread: Mutex<SettingsSpread>,
     store: Option<Arc<dyn StorePort>>,
+    /// Latest digest of each peer, sorted by name. Taken alone.
+    peer_digests: Mutex<Vec<(InstanceName, SettingsDigest)>>,
 }
 
 impl SettingsKeeper {
@@ -54,9 +57,33 @@
         Self {
             spread: Mutex::new(spread),
             store,
+            peer_digests: Mutex::new(Vec::new()),
         }
     }
 
+    /// The key-value service, if this instance reaches it.
+    pub(crate) fn store(&self) -> Option<&Arc<dyn StorePort>> {
+        self.store.as_ref()
+    }
+
+    /// Reads the documents in force.
+    pub(crate) fn with_table<T>(&self, read: impl FnOnce(&SettingsTable) -> T) -> T {
+        read(self.lock().table())
+    }
+
+    /// Digest that a peer announced last.
+    pub(crate) fn peer_digest(&self, peer: &InstanceName) -> Option<SettingsDigest> {
+        let digests = self.lock_digests();
+        let found = digests.binary_search_by(|(name, _)| name.cmp(peer));
+        found.ok().map(|at| digests[at].1)
+    }
+
+    fn lock_digests(&self) -> MutexGuard<'_, Vec<(InstanceName, SettingsDigest)>> {
+        self.peer_digests
+            .lock()
+            .expect("no holder of the digest lock panics")
+    }
+
     fn lock(&self) -> MutexGuard<'_, SettingsSpread> {
         self.spread
             .lock()
@@ -91,6 +118,13 @@
         from: &InstanceName,
         digest: SettingsDigest,
     ) {
+        {
+            let mut digests = self.lock_digests();
+            match digests.binary_search_by(|(name, _)| name.cmp(from)) {
+                Ok(at) => digests[at].1 = digest,
+                Err(at) => digests.insert(at, (from.clone(), digest)),
+            }
+        }
         let now = engine.clock().now();
         let actions = self.lock().on_peer_digest(from, digest.0, now);
         self.perform(engine, actions);
@@ -179,6 +213,7 @@
         let is_ready = keeper.lock().table().is_ready();
         let is_watcher = keeper.lock().is_watcher(&engine.view().live());
         let clock = engine.clock().clone();
+        let random = engine.random() as f64 / u64::MAX as f64;
         if is_ready && !is_watcher {
             revision = None;
             drop(engine);
@@ -199,7 +234,7 @@
             Err(error) => {
                 log::warn!("store_call_failed error=\"{error}\"");
                 revision = None;
-                let pause = STORE_RETRY.mul_f64(rand::random::<f64>());
+                let pause = STORE_RETRY.mul_f64(random);
                 clock.sleep(pause.max(Duration::from_millis(50))).await;
             }
         }
--- a/crates/proxy/src/writes.rs
+++ b/crates/proxy/src/writes.rs
@@ -130,7 +130,7 @@
     ) -> Result<KnownPrimary, RequestOutcome> {
         let now = runner.clock().now();
         let until = call.deadline.min(now + self.primary_wait());
-        let Some(primary) = runner.wait_primary(until).await else {
+        let Some(primary) = runner.wait_writable(until).await else {
             return Err(RequestOutcome::not_run(
                 RefusalReason::NoPrimary,
                 REFUSED_RETRY,
@@ -270,7 +270,14 @@
         let clock = self.clock().clone();
         let asked_at = clock.now();
         let mut transaction = *transaction;
-        let started = run_on(transaction.lent, target_call, clock.clone(), call.deadline).await;
+        let started = run_on(
+            transaction.lent,
+            target_call,
+            clock.clone(),
+            call.deadline,
+            None,
+        )
+        .await;
         let mut stream = match started {
             Ok(stream) => stream,
             Err(outcome) => return EndedStream::boxed(step_outcome(step, outcome)),
@@ -327,6 +334,7 @@
         target: primary.target,
         kind: CallKind::Write,
         is_strict: !call.is_repeatable,
+        doubt_after: None,
         call: TargetCall {
             statement: if is_begin {
                 String::new()
--- a/crates/routing/src/answer.rs
+++ b/crates/routing/src/answer.rs
@@ -38,10 +38,11 @@
 
 /// Checks the head of an answer.
 ///
-/// An answer that has every write committed before the call was sent is young enough for any
-/// `max_age`. With a `max_age` of zero or [`ReadRequirement::Primary`] no other answer is; the caller
-/// of this function begins a term check after sending the read, records its result in the tracker, and
-/// then checks the answer. `TooOld` can therefore become `Good` after another term check.
+/// With a `max_age` of zero or [`ReadRequirement::Primary`], the answer has to show every write that
+/// was committed before the call was sent. The caller of this function begins a term check after
+/// sending the read, records its result in the tracker, and then checks the answer. `TooOld` can
+/// therefore become `Good` after another term check. A `max_age` above zero limits the age at `now`
+/// in any case.
 pub fn check_answer(
     head: &AnswerHead,
     requirement: ReadRequirement,
@@ -63,7 +64,9 @@
     let is_present = complete_until >= head.asked_at;
     let must_be_present = requirement == ReadRequirement::Primary || max_age.is_zero();
     let age_bound = now - complete_until;
-    if is_present || (!must_be_present && age_bound <= max_age) {
+    // A check of the primary's leadership can take longer than the age that the kind allows.
+    let is_young = max_age.is_zero() || age_bound <= max_age;
+    if is_young && (is_present || !must_be_present) {
         AnswerCheck::Good { age_bound }
     } else {
         AnswerCheck::TooOld
--- a/crates/session/src/token.rs
+++ b/crates/session/src/token.rs
@@ -195,10 +195,6 @@
         }
     }
 
-    /// Does nothing. It took the position of a primary's answer, which can be lost with the primary.
-    #[deprecated = "call settle_unknown with a position that a majority of the targets have"]
-    pub fn observe_primary(&mut self, _group: &GroupName, _head: GroupPosition) {}
-
     /// Records that a position was lost in a promotion.
     ///
     /// The position is replaced by a mark of its term. Earlier writes of the session, whose positions
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -60,7 +60,7 @@
         self.core.target(target).kill();
     }
 
-    /// Starts a killed target again, in the role that its terms give it.
+    /// Starts a killed target again, in the role that its terms give it and not leaving.
     pub fn restart(&self, target: &TargetName) {
         let index = self.core.index(target);
         let (primary_term, epoch) = {
--- a/crates/standin/tests/target.rs
+++ b/crates/standin/tests/target.rs
@@ -249,6 +249,34 @@
     assert_eq!(rows, [("running".to_string(), "v".to_string())]);
 }
 
+/// Guards against a close that is lost because the running call ends while it is on its way; the
+/// connection would keep its permit.
+#[tokio::test(start_paused = true)]
+async fn a_close_arrives_beside_the_end_of_a_call() {
+    let group = test_group(|_| {});
+    for wait in 0..8 {
+        let mut connection = group.connect(0, wait).await.unwrap();
+        connection.begin_call(single("put k v")).await.unwrap();
+        sleep(u32::from(wait) * MS).await;
+        drop(connection);
+        sleep(20 * MS).await;
+        assert_eq!(group.faults.connections(&target(0)), 0, "{wait} ms");
+    }
+}
+
+/// Guards against calls that vanish when their caller gives up: in a network they arrive late.
+#[tokio::test(start_paused = true)]
+async fn an_abandoned_fence_takes_effect_after_a_stall() {
+    let group = test_group(|_| {});
+    group.faults.stall(&target(0), 500 * MS);
+    let (port, candidate) = (group.port(0), support::candidate("i0"));
+    let fence = port.fence(TermNumber(2), &candidate);
+    assert!(timeout(100 * MS, fence).await.is_err());
+    sleep(500 * MS).await;
+    let not_primary = Err(TargetError::NotPrimary);
+    assert_eq!(group.call(0, single("put k v")).await, not_primary);
+}
+
 /// Guards against two transactions that overwrite each other, and against reads that see half of
 /// one.
 #[tokio::test(start_paused = true)]
