Exclude a suspected primary from its own replacement; unpin sessions

A session whose coordinator was lost during a write carried a mark above all terms, so that its reads went to the primary for good. Change: of an odd number of targets the suspected primary takes no part in the run; isolation is looked at only after the threshold has passed in the new term. The mark has the highest term seen, and is cleared by a read at the primary whose position a majority holds.

--- a/crates/control/examples/slopes.rs
+++ b/crates/control/examples/slopes.rs
@@ -13,6 +13,8 @@
 mod slopes_result;
 #[path = "slopes/run.rs"]
 mod slopes_run;
+#[path = "slopes/status.rs"]
+mod slopes_status;
 
 use std::fmt::Write as _;
 use std::process::ExitCode;
--- a/crates/control/examples/slopes/run.rs
+++ b/crates/control/examples/slopes/run.rs
@@ -29,6 +29,9 @@
 use crate::slopes_plan::Deployment;
 use crate::slopes_result::RunResult;
 use crate::slopes_result::Spread;
+use crate::slopes_status::Probed;
+use crate::slopes_status::StatusAnswer;
+use crate::slopes_status::StatusCall;
 
 /// Headers of TCP (32 with timestamps), IPv4 (20) and Ethernet (14) for each frame.
 pub const FRAME_BYTES: usize = 66;
@@ -58,32 +61,6 @@
 /// Starts of all instances are spread over this time (case 23).
 const START_MICROS: u64 = 5_000_000;
 
-/// Question of an observer to a target.
-#[derive(Clone, PartialEq, Message)]
-struct StatusCall {
-    #[prost(uint32, tag = "1")]
-    sequence: u32,
-    #[prost(uint64, tag = "2")]
-    term: u64,
-}
-
-/// Answer of a target.
-#[derive(Clone, PartialEq, Message)]
-struct StatusAnswer {
-    #[prost(uint32, tag = "1")]
-    sequence: u32,
-    #[prost(uint64, tag = "2")]
-    term: u64,
-    #[prost(uint64, tag = "3")]
-    promised: u64,
-    #[prost(uint64, tag = "4")]
-    position: u64,
-    #[prost(bool, tag = "5")]
-    is_primary: bool,
-    #[prost(uint32, tag = "6")]
-    heard_ms: u32,
-}
-
 /// One instance of the simulation.
 pub struct Node {
     prober: MemberProber,
@@ -100,14 +77,6 @@
     messages: u64,
 }
 
-/// A target that an observer probes.
-#[derive(Debug, Clone, Copy)]
-struct Probed {
-    is_primary: bool,
-    /// In the observer's data centre, where its own statements replace probes under load.
-    is_near: bool,
-}
-
 enum Event {
     Tick(usize),
     Status(usize),
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -291,7 +291,7 @@
 
     /// Merges many records at once and returns how many were news.
     ///
-    /// More than [`BULK_CHANGES`] are not queued as updates, which would take minutes to send eight at
+    /// More than `BULK_CHANGES` are not queued as updates, which would take minutes to send eight at
     /// a time; the caller passes them on by offering its digests instead.
     pub fn merge_bulk(
         &mut self,
--- a/crates/control/tests/members.rs
+++ b/crates/control/tests/members.rs
@@ -401,6 +401,33 @@
     assert!(network.is_agreed(), "{}", network.states());
 }
 
+/// Tells whether nodes agree of which every second one knows many members that the others do not.
+fn mixed_views_agree(variant: Variant) -> bool {
+    let mut network = Network::new(21, variant);
+    let ghost = |i: usize| {
+        let name = format!("ghost-{i:02}").parse().unwrap();
+        MemberRecord::new(name, "c-1".parse().unwrap(), Incarnation(1))
+    };
+    for i in (0..NODES).filter(|i| i % 8 < 4) {
+        network.probers[i].learn((0..40).map(ghost), MonoTime::ZERO);
+    }
+    network.rounds(HEAL_ROUNDS);
+    let known = |i: usize| network.probers[i].view().len();
+    (0..NODES).all(|i| known(i) == NODES + 40)
+}
+
+/// Guards against two groups in a data centre whose matching digests keep them from comparing records.
+#[test]
+fn mixed_views_end_in_one() {
+    assert!(mixed_views_agree(Variant::Sound));
+}
+
+/// The check catches a network without exchange of records.
+#[test]
+fn mixed_views_without_repair_are_caught() {
+    assert!(!mixed_views_agree(Variant::NoRepair));
+}
+
 /// Starts all instances, each of which has met one other; tells whether the views agree in the end.
 fn agrees_after_mass_start(seed: u64, has_list: bool) -> bool {
     let mut network = Network::new(seed, Variant::Sound);
--- a/crates/experiment/src/scenario.rs
+++ b/crates/experiment/src/scenario.rs
@@ -311,10 +311,17 @@
             let state = state.clone();
             tokio::spawn(async move {
                 sleep(back_after).await;
-                let mut run = lock(&state);
-                run.cluster.restart_node(index);
-                run.kills[index].send_replace(false);
-                update_balancer(&run);
+                let engine = {
+                    let mut run = lock(&state);
+                    run.cluster.restart_node(index);
+                    run.kills[index].send_replace(false);
+                    run.cluster.nodes[index].engine.clone()
+                };
+                // The balancer looks at the instance's readiness.
+                while engine.readiness().is_err() {
+                    sleep(Duration::from_millis(100)).await;
+                }
+                update_balancer(&lock(&state));
             });
         }
         Fault::StoreOutage(span) => {
--- a/crates/heatherhollow/src/options.rs
+++ b/crates/heatherhollow/src/options.rs
@@ -12,6 +12,7 @@
 use displaydoc::Display as DisplayDoc;
 use getopts::Options;
 
+use heatherhollow_proxy::OperatorTokens;
 use heatherhollow_types::DataCentre;
 use heatherhollow_types::InstanceName;
 use heatherhollow_types::RegionName;
@@ -394,6 +395,9 @@
         if operator_tokens.is_empty() && is_embedded {
             operator_tokens.push(format!("*={EMBEDDED_SECRET}"));
         }
+        if let Err(error) = OperatorTokens::parse(&operator_tokens) {
+            self.errors.push(OptionError::Conflict(error.to_string()));
+        }
         let peer_secret = self.secret("peer-secret", is_embedded);
         let token_secret = self.secret("token-secret", is_embedded);
         let instance = self.parse("instance");
--- a/crates/heatherhollowctl/src/apply.rs
+++ b/crates/heatherhollowctl/src/apply.rs
@@ -3,7 +3,6 @@
 use std::path::Path;
 use std::thread;
 use std::time::Duration;
-use std::time::Instant;
 
 use serde_json::Value;
 use serde_json::json;
@@ -19,6 +18,7 @@
 use crate::client::ServerClient;
 use crate::declarations::DeclaredFolder;
 use crate::declarations::read_folder;
+use crate::force::wait_for_force;
 use crate::options::CommandLine;
 use crate::requests::new_change_id;
 
@@ -28,12 +28,6 @@
 /// Pause before a change is sent again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(500);
 
-/// Interval at which the instances are asked what they have in force.
-const FORCE_INTERVAL: Duration = Duration::from_millis(200);
-
-/// Interval of lines about progress.
-const PROGRESS_INTERVAL: Duration = Duration::from_secs(2);
-
 /// The stored version of a team's document.
 struct StoredVersion {
     revision: u64,
@@ -54,7 +48,7 @@
     }
     for team in &declared.teams {
         console.line(format!(
-            "{}: valid, {} groups, {} services",
+            "{}: valid; groups: {}, services: {}",
             team_path(&team.team),
             team.groups.len(),
             team.services.len()
@@ -167,7 +161,7 @@
         console.note(format!(
             "{path}: revision {revision} has these settings already"
         ));
-        return wait_for_force(client, team, revision, line, console);
+        return wait_for_force(client, &team.team, revision, line, console);
     }
     let base = stored.filter(|stored| Some(stored.revision) == expected);
     let body = json!({
@@ -189,7 +183,7 @@
     let body = answer.into_body()?;
     let revision = body["revision"].as_u64().unwrap_or_default();
     console.note(format!("{path}: stored as revision {revision}"));
-    wait_for_force(client, team, revision, line, console)
+    wait_for_force(client, &team.team, revision, line, console)
 }
 
 /// Sends a change until it is answered; the id shows the instance that it is the same one.
@@ -223,55 +217,6 @@
     }
 }
 
-fn wait_for_force(
-    client: &ServerClient,
-    team: &TeamSettings,
-    revision: u64,
-    line: &CommandLine,
-    console: &mut Console<'_>,
-) -> Result<(), CommandError> {
-    let path = team_path(&team.team);
-    let started = Instant::now();
-    let mut last_progress = started;
-    loop {
-        let answer = client.get(&format!("/operator/force/{}/{revision}", team.team))?;
-        let body = answer.into_body()?;
-        let missing = names(&body["missing"]);
-        let unreachable = names(&body["unreachable"]);
-        let counts = format!("{} of {} instances", body["in_force"], body["known"]);
-        let is_over = started.elapsed() >= Duration::from_secs(line.wait_seconds);
-        if missing.is_empty() || is_over {
-            match line.is_json {
-                true => console.line(&body),
-                false => console.line(format!("{path}: revision {revision} in force on {counts}")),
-            }
-            if !unreachable.is_empty() {
-                console.note(format!("not reachable: {unreachable}"));
-            }
-            if missing.is_empty() {
-                return Ok(());
-            }
-            return Err(CommandError::Failed(format!(
-                "{path}: revision {revision} is stored, but not yet in force on {missing}"
-            )));
-        }
-        if last_progress.elapsed() >= PROGRESS_INTERVAL {
-            last_progress = Instant::now();
-            let seconds = started.elapsed().as_secs();
-            console.note(format!(
-                "in force on {counts} after {seconds} s, waiting for {missing}"
-            ));
-        }
-        thread::sleep(FORCE_INTERVAL);
-    }
-}
-
-fn names(list: &Value) -> String {
-    let names = list.as_array().into_iter().flatten();
-    let names = names.filter_map(Value::as_str).collect::<Vec<_>>();
-    names.join(", ")
-}
-
 fn show_difference(
     stored: Option<&StoredVersion>,
     team: &TeamSettings,
@@ -302,7 +247,7 @@
         console.line(format!("{path}: {old} -> {new}"));
         count += 1;
     }
-    console.line(format!("{path}: {version}, {count} differences"));
+    console.line(format!("{path}: {version}, differences: {count}"));
 }
 
 /// The value at a path whose list entries are named by `name` or by their index.
--- a/crates/heatherhollowctl/src/lib.rs
+++ b/crates/heatherhollowctl/src/lib.rs
@@ -7,6 +7,7 @@
 mod client;
 mod completions;
 mod declarations;
+mod force;
 mod options;
 mod requests;
 mod status;
--- a/crates/heatherhollowctl/src/options.rs
+++ b/crates/heatherhollowctl/src/options.rs
@@ -114,7 +114,7 @@
     options.optopt(
         "",
         "wait",
-        "apply: longest wait until the change is in force [30]",
+        "apply, drain target: longest wait until the change is in force [30]",
         "SECONDS",
     );
     options.optflag("", "dry-run", "apply: check and compare, change nothing");
@@ -147,7 +147,7 @@
     for (name, applies) in [
         ("dry-run", is_apply),
         ("expect", is_apply),
-        ("wait", is_apply),
+        ("wait", is_apply || is_undoable),
         ("undo", is_undoable),
     ] {
         if matches.opt_present(name) && !applies {
--- a/crates/heatherhollowctl/src/requests.rs
+++ b/crates/heatherhollowctl/src/requests.rs
@@ -10,6 +10,7 @@
 use crate::CommandError;
 use crate::Console;
 use crate::client::ServerClient;
+use crate::force::wait_for_force;
 use crate::options::CommandLine;
 
 /// Id of a change: time and process, so that no two changes share one.
@@ -96,7 +97,7 @@
     }
     let open = &body["open"];
     console.line(format!(
-        "{name} is leaving, with {} answers and {} transactions open; stop its process when \
+        "{name} is leaving; open answers: {}, open transactions: {}; stop its process when \
          heatherhollowctl status shows none",
         open["answers"], open["transactions"]
     ));
@@ -113,10 +114,6 @@
     let undo = if line.is_undo { "/undo" } else { "" };
     let path = format!("/operator/drain/target/{group}/{target}{undo}");
     let body = post(&path, line)?;
-    if line.is_json {
-        console.line(&body);
-        return Ok(());
-    }
     let state = match line.is_undo {
         true => "is not leaving",
         false => "is leaving",
@@ -125,11 +122,15 @@
         Some("unchanged") => "it was so before; the settings have",
         _ => "stored as",
     };
-    console.line(format!(
-        "{group}/{target} {state}: {since} revision {}",
-        body["revision"]
+    let revision = body["revision"].as_u64().unwrap_or_default();
+    console.note(format!(
+        "{group}/{target} {state}: {since} revision {revision}"
     ));
-    Ok(())
+    let team = group
+        .split_once('.')
+        .and_then(|(team, _)| team.parse().ok());
+    let team = team.ok_or_else(|| CommandError::Failed(format!("{group} names no team")))?;
+    wait_for_force(&ServerClient::new(line), &team, revision, line, console)
 }
 
 /// Makes a target the primary of its group.
--- a/crates/heatherhollowctl/src/status.rs
+++ b/crates/heatherhollowctl/src/status.rs
@@ -19,7 +19,7 @@
     }
     let open = &body["open"];
     console.line(format!(
-        "instance {}: {}, {} answers and {} transactions open",
+        "instance {}: {}; open answers: {}, open transactions: {}",
         text_of(&body["instance"]),
         text_of(&body["readiness"]),
         open["answers"],
@@ -54,7 +54,7 @@
         let observers = items(&group["observers"]).map(text_of).collect::<Vec<_>>();
         let observers = observers.join(", ");
         console.line(format!(
-            "group {name}: observed by {observers}, not by this instance"
+            "group {name}: no state known at this instance; observers: {observers}"
         ));
         return;
     }
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -32,11 +32,13 @@
 use heatherhollow_session::TokenCodec;
 use heatherhollow_types::CandidateId;
 use heatherhollow_types::DataCentre;
+use heatherhollow_types::GroupName;
 use heatherhollow_types::Incarnation;
 use heatherhollow_types::InstanceName;
 use heatherhollow_types::RefusalReason;
 use heatherhollow_types::RegionName;
 use heatherhollow_types::RetryReason;
+use heatherhollow_types::TermNumber;
 
 use crate::call::CallAction;
 use crate::call::ServiceCall;
@@ -152,6 +154,8 @@
     pub(crate) transactions: Arc<TransactionTable>,
     pub(crate) budget: Mutex<RetryBudget>,
     jitter: Mutex<SmallRng>,
+    /// Highest term seen of each group, sorted by group; taken alone.
+    pub(crate) terms: Mutex<Vec<(GroupName, TermNumber)>>,
     pub(crate) active_runs: AtomicUsize,
     pub(crate) streams: AtomicUsize,
     pub(crate) is_draining: AtomicBool,
@@ -191,6 +195,7 @@
         Arc::new_cyclic(|itself| Self {
             transactions: Arc::new(TransactionTable::new(own.clone())),
             budget: Mutex::new(RetryBudget::new(settings.retry.clone())),
+            terms: Mutex::new(Vec::new()),
             jitter: Mutex::new(match settings.jitter_seed {
                 Some(seed) => SmallRng::seed_from_u64(seed),
                 None => SmallRng::seed_from_u64(rand::random()),
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -41,16 +41,15 @@
 /// Time to come back that is named while the instance has no settings or stops.
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
 
-/// Term of an uncertain write whose term this instance does not know. It is above all real ones, so
-/// that the session's reads go to the primary from then on.
-const UNKNOWN_TERM: TermNumber = TermNumber(u64::MAX);
-
 /// What the answer to a request does to the session.
 struct SessionUpdate {
     group: GroupName,
     token: SessionToken,
     requirement: ReadRequirement,
     is_read: bool,
+    /// Highest term of the group that this instance has seen; for an uncertain write whose
+    /// coordinator was lost.
+    seen_term: TermNumber,
 }
 
 /// The answer to a caller's request.
@@ -132,11 +131,13 @@
             arrived,
             deadline: arrived + patience.min(limit),
         };
+        let seen_term = TermNumber::default();
         let session = SessionUpdate {
             group,
             token,
             requirement,
             is_read,
+            seen_term,
         };
         Ok((service, call, session))
     }
@@ -157,6 +158,25 @@
         Ok(token)
     }
 
+    /// Takes a term that an answer showed; returns the highest one of the group seen so far.
+    fn note_term(&self, group: &GroupName, term: Option<TermNumber>) -> TermNumber {
+        let mut terms = self
+            .terms
+            .lock()
+            .expect("no holder of the term list panics");
+        let term = term.unwrap_or_default();
+        match terms.binary_search_by(|(name, _)| name.cmp(group)) {
+            Ok(i) => {
+                terms[i].1 = terms[i].1.max(term);
+                terms[i].1
+            }
+            Err(i) => {
+                terms.insert(i, (group.clone(), term));
+                term
+            }
+        }
+    }
+
     /// Hands a call to its coordinator.
     async fn dispatch(
         self: &Arc<Self>,
@@ -313,6 +333,12 @@
             if let (true, RequestOutcome::Unknown(_)) = (session.is_read, outcome) {
                 outcome = RequestOutcome::Failed(FailureReason::Interrupted);
             }
+            let positions = [self.head, end.position, note.uncertain_position()];
+            let terms = positions
+                .into_iter()
+                .flatten()
+                .map(|position| position.term);
+            session.seen_term = self.engine.note_term(&session.group, terms.max());
             session.apply(outcome, &end, &note, self.head);
             self.engine.codec.encode(&session.token)
         });
@@ -358,11 +384,12 @@
                     self.token.record_write(&self.group, position);
                 }
                 if let (true, Some(head)) = (note.is_head_settled, head) {
-                    self.token.settle_unknown(&self.group, head);
+                    self.token.clear_unknown(&self.group, head);
                 }
             }
             RequestOutcome::Unknown(_) => {
-                let term = note.uncertain_position().map_or(UNKNOWN_TERM, |p| p.term);
+                let known = note.uncertain_position().map(|position| position.term);
+                let term = known.unwrap_or(self.seen_term);
                 self.token.record_unknown(&self.group, term);
             }
             RequestOutcome::Failed(FailureReason::PositionLost) => {
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -196,6 +196,7 @@
     pub round_trips: Vec<Option<Duration>>,
     monitor_settings: MonitorSettings,
     isolated_since: Option<MonoTime>,
+    primary_since: MonoTime,
     last_used: MonoTime,
     last_news: MonoTime,
 }
@@ -310,6 +311,7 @@
             round_trips: vec![None; targets],
             monitor_settings: parts.timing.monitor.clone(),
             isolated_since: None,
+            primary_since: MonoTime::ZERO,
             last_used: parts.clock.now(),
             last_news: MonoTime::ZERO,
         };
@@ -472,6 +474,24 @@
         found.await.unwrap_or(Confirmation::Waiting)
     }
 
+    /// Waits until a majority of the targets holds a position that a primary showed; returns whether it
+    /// does.
+    pub async fn confirm_position(
+        &self,
+        primary: KnownPrimary,
+        position: GroupPosition,
+        deadline: MonoTime,
+    ) -> bool {
+        let write = PendingWrite {
+            position,
+            term: primary.term,
+            primary: primary.target,
+            answered_at: MonoTime::ZERO,
+            mode: AckMode::Replicated,
+        };
+        self.confirm(&write, deadline).await == Confirmation::Confirmed
+    }
+
     /// Waits for a primary that is not suspected.
     pub async fn wait_primary(&self, deadline: MonoTime) -> Option<KnownPrimary> {
         self.wait_for(deadline, |state, _| state.usable_primary())
@@ -639,7 +659,8 @@
 
     /// Takes a target for the primary of a term, unless a higher one is known.
     pub(crate) fn set_primary(&self, primary: KnownPrimary) {
-        let is_new = self.lock().set_primary(primary);
+        let now = self.clock.now();
+        let is_new = self.lock().set_primary(primary, now);
         if is_new {
             self.log_primary(primary);
             self.announce_change();
@@ -776,6 +797,11 @@
     fn update_suspicion(&mut self, now: MonoTime) {
         self.suspicion = self.monitor.tick(now);
         let threshold = self.monitor.threshold();
+        // The replicas of a new primary count their silence from the last word of the old one.
+        if now.since(self.primary_since) < threshold {
+            self.isolated_since = None;
+            return;
+        }
         let deaf = self.reports.iter().flatten().filter(|seen| {
             now.since(seen.answered_at) <= UNCONFIRMABLE_SILENCE
                 && seen
@@ -829,10 +855,11 @@
         self.highest.observe_report(&report);
         self.confirmer.observe(target, asked_at, &report);
         if report.is_primary {
-            self.set_primary(KnownPrimary {
+            let primary = KnownPrimary {
                 target,
                 term: report.promised,
-            });
+            };
+            self.set_primary(primary, now);
         }
         if self.is_primary(target) {
             self.monitor.probe_answered(now);
@@ -878,30 +905,20 @@
         }
     }
 
-    fn set_primary(&mut self, primary: KnownPrimary) -> bool {
+    fn set_primary(&mut self, primary: KnownPrimary, now: MonoTime) -> bool {
         if self.primary.is_some_and(|known| known.term >= primary.term) {
             return false;
         }
         self.highest.observe_established(primary.term);
         self.primary = Some(primary);
+        self.primary_since = now;
+        self.isolated_since = None;
         self.suspicion = Suspicion::Healthy;
         self.told.retain(|told| told.term >= primary.term);
         self.monitor = PrimaryMonitor::new(self.monitor_settings.clone());
         true
     }
 
-    /// Whether a majority of the targets is known to hold a position that a primary showed.
-    pub(crate) fn is_settled(&self, primary: KnownPrimary, position: GroupPosition) -> bool {
-        let write = PendingWrite {
-            position,
-            term: primary.term,
-            primary: primary.target,
-            answered_at: MonoTime::ZERO,
-            mode: AckMode::Replicated,
-        };
-        self.confirmation(&write) == Some(Confirmation::Confirmed)
-    }
-
     /// Whether a write may be acknowledged.
     fn confirmation(&self, write: &PendingWrite) -> Option<Confirmation> {
         match self.confirmer.check(write) {
--- a/crates/proxy/src/operator_settings.rs
+++ b/crates/proxy/src/operator_settings.rs
@@ -128,16 +128,23 @@
         settings.sort();
         self.check_settings(team, &settings)?;
         let current = self.stored_settings(team).await?;
-        let is_included = current
-            .as_ref()
-            .is_some_and(|stored| stored.document.includes(&change.change_id));
         let revision = current.as_ref().map(|stored| stored.revision);
-        let is_current = revision == change.expected && !is_included;
+        if let Some(stored) = &current
+            && stored.document.includes(&change.change_id)
+        {
+            let revision = stored.revision;
+            return Ok(SwapOutcome::Effective { revision });
+        }
+        let is_current = revision == change.expected;
         let base = match (change.expected, change.base) {
             _ if is_current => current.clone(),
             (None, _) => None,
             (Some(revision), Some(base)) => Some(past_version(revision, base)),
-            (Some(_), None) if is_included || change.is_repeat => current.clone(),
+            // Without the base, nothing shows whether the list of recent changes reaches back to it.
+            (Some(_), None) if change.is_repeat => {
+                let change_id = change.change_id;
+                return Ok(SwapOutcome::Unresolved { change_id });
+            }
             (Some(_), None) => return Ok(lost_without_base(current, &settings)),
         };
         let mut resolver = SwapResolver::new(base, settings, change.change_id, &change.author);
--- a/crates/proxy/src/promotion.rs
+++ b/crates/proxy/src/promotion.rs
@@ -80,7 +80,7 @@
             }
             state.judge.run_started();
             let term = state.highest.take_next();
-            let targets = state.run_targets(self.near_old_primary(&state));
+            let targets = state.run_targets(self.near_old_primary(&state), trigger);
             let settings = self.timing().run.clone();
             let planned = state.planned.zip(state.primary);
             match planned {
@@ -364,8 +364,18 @@
         .collect()
     }
 
-    fn run_targets(&self, is_preferred: Vec<bool>) -> Vec<RunTarget> {
-        let mut order = (0..is_preferred.len()).collect::<Vec<_>>();
+    /// Targets of a run, in the order of preference.
+    ///
+    /// A suspected primary takes no part: it may have the longest log and be out of reach of the
+    /// others, and would be chosen again. Of an odd number of targets a majority of the rest is also one
+    /// of all, so that a confirmed write is in one of their logs.
+    fn run_targets(&self, is_preferred: Vec<bool>, trigger: PromotionTrigger) -> Vec<RunTarget> {
+        let is_odd = !is_preferred.len().is_multiple_of(2);
+        let is_suspicion = matches!(trigger, PromotionTrigger::Suspicion(_));
+        let excluded = self.primary.filter(|_| is_odd && is_suspicion);
+        let mut order = (0..is_preferred.len())
+            .filter(|&i| excluded.is_none_or(|primary| primary.target.as_usize() != i))
+            .collect::<Vec<_>>();
         order.sort_by_key(|&i| !is_preferred[i]);
         let targets = order.into_iter().map(|i| RunTarget {
             index: TargetIndex(i as u16),
--- a/crates/proxy/src/reads.rs
+++ b/crates/proxy/src/reads.rs
@@ -50,6 +50,9 @@
 /// Age from which a target's last status no longer shows that it can be reached.
 const SUSPECT_AFTER: Duration = Duration::from_millis(1_200);
 
+/// Longest wait for a majority to hold the position that a session's read showed.
+const SETTLE_LIMIT: Duration = Duration::from_millis(150);
+
 /// Shortest time without an answer after which the connection of a read is given up.
 const MIN_READ_DOUBT: Duration = Duration::from_millis(300);
 
@@ -308,8 +311,7 @@
                         .to_string(),
                     is_replica: !is_primary,
                     age_micros: age_bound.as_micros() as u64,
-                    is_head_settled: primary
-                        .is_some_and(|primary| self.runner.lock().is_settled(primary, head)),
+                    is_head_settled: self.settle_head(primary, head).await,
                     ..EndNote::default()
                 };
                 Ok(GoodAnswer { stream, head, note })
@@ -322,6 +324,20 @@
         }
     }
 
+    /// For a session with an uncertain write: whether a majority of the targets holds the position that
+    /// the primary showed. If so, the session's next reads may go to a replica with that position: it
+    /// shows the write if this answer did. A short wait is cheaper than further reads at the primary.
+    async fn settle_head(&self, primary: Option<KnownPrimary>, head: GroupPosition) -> bool {
+        let Some(primary) = primary else { return false };
+        if self.query.requirement != ReadRequirement::Primary {
+            return false;
+        }
+        let until = self.runner.clock().now() + SETTLE_LIMIT;
+        self.runner
+            .confirm_position(primary, head, until.min(self.call.deadline))
+            .await
+    }
+
     fn attempt_failed(&mut self, target: TargetIndex, outcome: RequestOutcome) -> AttemptError {
         let reason = match outcome {
             RequestOutcome::Failed(FailureReason::Interrupted)
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -28,6 +28,7 @@
 use crate::network::NetworkModel;
 use crate::network::NetworkPoint;
 use crate::sync::lock;
+use crate::sync::run_detached;
 
 /// Longest value in bytes.
 const MAX_VALUE_BYTES: usize = 1_000_000;
@@ -384,11 +385,7 @@
         apply: impl FnOnce(&mut StoreState) -> Result<T, StoreError> + Send + 'static,
     ) -> Result<T, StoreError> {
         let handle = self.clone();
-        let written = tokio::spawn(async move { handle.run_write(request_bytes, apply).await });
-        match written.await {
-            Ok(reply) => reply,
-            Err(error) => panic!("{error}"),
-        }
+        run_detached(async move { handle.run_write(request_bytes, apply).await }).await
     }
 
     async fn run_write<T>(
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -35,6 +35,7 @@
 use crate::state::StallRecord;
 use crate::state::TargetState;
 use crate::sync::lock;
+use crate::sync::run_detached;
 
 const REQUEST_BYTES: usize = 96;
 const REPLY_BYTES: usize = 192;
@@ -229,10 +230,9 @@
         apply: impl FnOnce(&mut TargetState) -> T + Send + 'static,
     ) -> Result<T, TargetError> {
         let exchange = exchange(self.cell().clone(), self.from.clone(), kind, apply);
-        match tokio::spawn(exchange).await {
-            Ok(Some(reply)) => reply,
-            Ok(None) => std::future::pending().await,
-            Err(error) => panic!("{error}"),
+        match run_detached(exchange).await {
+            Some(reply) => reply,
+            None => std::future::pending().await,
         }
     }
 }
--- a/crates/standin/tests/services.rs
+++ b/crates/standin/tests/services.rs
@@ -371,12 +371,18 @@
     } = peer_pair().await;
     let mut stream = port.call(&names[1], call_for_rows(100)).await.unwrap();
     hub.kill(&names[1]);
+    let pulled = *handlers[1].pulled.lock().unwrap();
     let mut last = stream.next_part().await;
     while let Some(part) = &last {
         assert!(!part.is_end());
         last = stream.next_part().await;
     }
     sleep(10 * MS).await;
+    assert_eq!(
+        *handlers[1].pulled.lock().unwrap(),
+        pulled,
+        "the dead do not work"
+    );
     let gone = port.call(&names[1], call_for_rows(1)).await.map(|_| ());
     assert_eq!(gone, Err(PeerError::NotSent));
     let (_, places) = network();
--- a/crates/standin/tests/target.rs
+++ b/crates/standin/tests/target.rs
@@ -337,7 +337,9 @@
 #[tokio::test(start_paused = true)]
 async fn an_abandoned_wait_loses_no_part() {
     let group = test_group(|s| s.rows = vec![("k".to_string(), "v".to_string())]);
-    let mut reader = group.connect(0, 0).await.unwrap();
+    // From the far region parts are on their way for several waits.
+    let port = group.group.target(&target(0), &group.places[2]);
+    let mut reader = port.connect(permit(0)).await.unwrap();
     reader.begin_call(single("slow 20 scan k")).await.unwrap();
     let mut parts = Vec::new();
     while !parts.last().is_some_and(AnswerPart::is_end) {
@@ -450,6 +452,11 @@
     assert!(timeout(long, connection.check()).await.is_err());
     let repeat = group.call(0, with_request("put k v", "r1")).await.unwrap();
     assert!(repeat.end.is_recorded, "the write had arrived and run");
+    let mut connection = group.connect(0, 1).await.unwrap();
+    group.network.cut(&place, &end, CutDirection::OneWay);
+    assert!(timeout(long, connection.check()).await.is_err());
+    group.network.heal(&place, &end, CutDirection::OneWay);
+    assert!(timeout(long, connection.check()).await.is_err());
 }
 
 /// Guards against lost replies of calls that did not take effect.
