--- a/crates/proxy/src/lane.rs
+++ b/crates/proxy/src/lane.rs
@@ -15,10 +15,8 @@
 use heatherhollow_limits::ConnectionPool;
 use heatherhollow_limits::PoolChoice;
 use heatherhollow_limits::PoolCounts;
-use heatherhollow_limits::PoolSettings;
 use heatherhollow_limits::QueueEntry;
 use heatherhollow_limits::QueueRefusal;
-use heatherhollow_limits::QueueSettings;
 use heatherhollow_limits::TicketNumber;
 use heatherhollow_ports::ClockPort;
 use heatherhollow_ports::ConnectionPermit;
@@ -33,6 +31,8 @@
 use heatherhollow_types::ServiceName;
 use heatherhollow_types::TeamName;
 
+use crate::timing::LaneSettings;
+
 /// Time between two looks at the queue of a waiting request, to drop what has expired.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -46,30 +46,6 @@
 /// Time to come back that is named when a target cannot be reached.
 const UNREACHABLE_RETRY: Duration = Duration::from_millis(500);
 
-/// Settings of a [`TargetLane`].
-#[derive(Debug, Clone, PartialEq)]
-pub struct LaneSettings {
-    /// Connections.
-    pub pool: PoolSettings,
-    /// Waiting requests.
-    pub queue: QueueSettings,
-    /// Longest time to open a connection.
-    pub connect_timeout: Duration,
-    /// Longest round trip of a connection check.
-    pub check_timeout: Duration,
-}
-
-impl Default for LaneSettings {
-    fn default() -> Self {
-        Self {
-            pool: PoolSettings::default(),
-            queue: QueueSettings::default(),
-            connect_timeout: Duration::from_millis(1_000),
-            check_timeout: Duration::from_millis(250),
-        }
-    }
-}
-
 /// Learns what a lane finds out about its target.
 pub trait LaneWatcher: Send + Sync {
     /// Whether the target has answered a status call so lately that it is known to work.
--- a/crates/proxy/src/promotion.rs
+++ b/crates/proxy/src/promotion.rs
@@ -25,9 +25,9 @@
 
 use crate::group::GroupNews;
 use crate::group::GroupRunner;
-use crate::group::GroupState;
-use crate::group::KnownPrimary;
-use crate::group::report_of;
+use crate::group_state::GroupState;
+use crate::group_state::KnownPrimary;
+use crate::group_state::report_of;
 
 /// Longest single call of a run; the run repeats calls that failed.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/proxy/src/reads.rs
+++ b/crates/proxy/src/reads.rs
@@ -37,8 +37,8 @@
 use crate::call::ServiceCall;
 use crate::engine::ProxyEngine;
 use crate::group::GroupRunner;
-use crate::group::GroupState;
-use crate::group::KnownPrimary;
+use crate::group_state::GroupState;
+use crate::group_state::KnownPrimary;
 use crate::table::DeclaredService;
 
 /// Parts of an answer that wait between a target and its caller.
--- a/crates/proxy/src/shares.rs
+++ b/crates/proxy/src/shares.rs
@@ -15,12 +15,13 @@
 use heatherhollow_types::TeamName;
 
 use crate::engine::ProxyEngine;
-use crate::group::TargetWatcher;
-use crate::lane::LaneSettings;
+use crate::group::GroupRunner;
+use crate::lane::LaneWatcher;
 use crate::lane::TargetLane;
 use crate::news::NodeNews;
 use crate::table::DeclaredService;
 use crate::table::ServiceTable;
+use crate::timing::LaneSettings;
 
 /// A lane with the service and target that it is for.
 pub(crate) struct LaneEntry {
@@ -230,3 +231,15 @@
             .is_some_and(|lane| lane.uses_permit(key.permit))
     }
 }
+
+/// One target as the lane of its connections sees it.
+struct TargetWatcher {
+    runner: Arc<GroupRunner>,
+    target: TargetIndex,
+}
+
+impl LaneWatcher for TargetWatcher {
+    fn is_answering(&self) -> bool {
+        self.runner.is_answering(self.target)
+    }
+}
--- a/crates/proxy/src/writes.rs
+++ b/crates/proxy/src/writes.rs
@@ -34,7 +34,7 @@
 use crate::execute::REFUSED_RETRY;
 use crate::execute::run_on;
 use crate::group::GroupRunner;
-use crate::group::KnownPrimary;
+use crate::group_state::KnownPrimary;
 use crate::table::DeclaredService;
 use crate::transactions::TransactionGuard;
 
