Take over the permits of a dead holder after 500 ms

Cause: the connections to a target belong to one holder at three work permits; its death stopped writes until the hold-off of 5 s or its restart. Calls were handed to instances that had no settings yet. Two instances with different views could close each other's connections without end. Change: the hold-off is 500 ms if the former holder has left the view, since the target closes the older connection anyway; an instance announces itself as a holder only with settings, and refusals for lack of them go elsewhere; a permit whose connections are closed early twice is left alone for its hold-off. Documents that the store no longer lists are removed.

--- a/crates/control/src/holder.rs
+++ b/crates/control/src/holder.rs
@@ -28,6 +28,10 @@
 /// Time between becoming the holder of a permit and taking it over without an answer.
 pub const PERMIT_HOLD_OFF: Duration = Duration::from_secs(5);
 
+/// The same if the former holder is not in the view any more, as after the death of its process. The
+/// target closes a connection that it still has; a longer time would only stop its writes for longer.
+pub const PERMIT_DEAD_HOLD_OFF: Duration = Duration::from_millis(500);
+
 /// Longest hold-off after repeated take-overs by others, which happen only while views differ.
 pub const PERMIT_HOLD_OFF_LIMIT: Duration = Duration::from_secs(60);
 
@@ -207,7 +211,13 @@
                     // At the start, a permit that no other instance can hold is free. Later, a permit
                     // without a source may still be in use by an instance that has left the view.
                     let is_free = is_start && source.is_none();
-                    let until = if is_free { now } else { now + PERMIT_HOLD_OFF };
+                    let is_dead = !is_start && !source.as_ref().is_some_and(&is_live);
+                    let hold_off = match (is_free, is_dead) {
+                        (true, _) => Duration::ZERO,
+                        (false, true) => PERMIT_DEAD_HOLD_OFF,
+                        (false, false) => PERMIT_HOLD_OFF,
+                    };
+                    let until = now + hold_off;
                     actions.extend(
                         source
                             .filter(is_live)
--- a/crates/experiment/examples/experiment.rs
+++ b/crates/experiment/examples/experiment.rs
@@ -109,8 +109,8 @@
         ),
         make(
             "instance_kills",
-            60,
-            (0..6)
+            80,
+            (0..9)
                 .map(|i| {
                     (
                         3_000 + i * 8_000,
--- a/crates/experiment/src/scenario.rs
+++ b/crates/experiment/src/scenario.rs
@@ -123,7 +123,11 @@
     let mut gap_starts = Vec::new();
     for (after, fault) in &scenario.faults {
         sleep_until(start + *after).await;
-        if matches!(fault, Fault::KillPrimary { .. } | Fault::CutPrimary { .. }) {
+        let is_cut = matches!(
+            fault,
+            Fault::KillPrimary { .. } | Fault::CutPrimary { .. } | Fault::KillInstance { .. }
+        );
+        if is_cut {
             gap_starts.push(Instant::now());
         }
         inject(&state, *fault);
--- a/crates/peer/tests/support/mod.rs
+++ b/crates/peer/tests/support/mod.rs
@@ -367,7 +367,8 @@
     is_used: AtomicBool,
 }
 
-const PAUSED_BYTES: usize = 100_000;
+/// With writes of 32 KB, the write that gets stuck has mostly passed in part.
+const PAUSED_BYTES: usize = 80_000;
 
 #[async_trait]
 impl LinkTransport for PausingTransport {
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -252,6 +252,7 @@
             .table
             .write()
             .expect("no holder of the table lock panics") = Some(table.clone());
+        self.announce();
         self.drop_changed_groups(&table);
         self.assign_permits();
         self.start_observers();
@@ -414,6 +415,7 @@
         if !actions.is_empty() {
             self.apply_permit_actions(actions);
         }
+        self.leave_contested();
         self.finish_releases();
         if round.is_multiple_of(10) {
             self.announce();
@@ -439,7 +441,10 @@
     }
 
     pub(crate) fn announcement(&self) -> NodeNews {
-        NodeNews::Announce(self.view().own().clone(), self.keeper.digest())
+        let mut member = self.view().own().clone();
+        // Others must not hand calls to an instance that has no settings yet.
+        member.can_hold &= self.table().is_some();
+        NodeNews::Announce(member, self.keeper.digest())
     }
 
     pub(crate) fn send(&self, peer: &InstanceName, news: &NodeNews) {
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -35,6 +35,7 @@
 use crate::engine::ProxyEngine;
 use crate::execute::EndedStream;
 use crate::execute::REFUSED_RETRY;
+use crate::reads::is_not_ready;
 use crate::table::DeclaredService;
 use crate::table::ServiceTable;
 
@@ -218,20 +219,26 @@
         let is_read = matches!(call.action, CallAction::Read(_));
         let body = ForwardedCall::Service(call.clone()).encode();
         match self.call_peer(peer, body, call.deadline).await {
-            Ok(mut stream) if is_read => {
-                // A read whose link breaks before its answer has begun goes elsewhere.
+            Ok(mut stream) => {
                 let first = stream.next_part().await;
-                let is_lost = match &first {
-                    None => true,
-                    Some(AnswerPart::End(end)) => matches!(end.outcome, RequestOutcome::Unknown(_)),
-                    Some(_) => false,
+                let outcome = match &first {
+                    Some(AnswerPart::End(end)) => Some(end.outcome),
+                    _ => None,
                 };
-                if is_lost && self.allow_retry(RetryReason::ConnectionLost) {
+                if let Some(RequestOutcome::NotRun { reason, .. }) = outcome
+                    && is_not_ready(reason)
+                {
+                    self.metrics().record_retry(RetryReason::HolderRefused);
+                    return None;
+                }
+                // A read whose link breaks before its answer has begun goes elsewhere.
+                let is_lost =
+                    first.is_none() || matches!(outcome, Some(RequestOutcome::Unknown(_)));
+                if is_read && is_lost && self.allow_retry(RetryReason::ConnectionLost) {
                     return None;
                 }
                 Some(Box::new(ResumedStream { first, stream }))
             }
-            Ok(stream) => Some(stream),
             Err(PeerError::NotSent) => {
                 self.metrics().record_retry(RetryReason::NotSent);
                 None
--- a/crates/proxy/src/lane.rs
+++ b/crates/proxy/src/lane.rs
@@ -36,6 +36,13 @@
 /// Time between two looks at the queue of a waiting request, to drop what has expired.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Age up to which a connection that the other end closes counts as taken over.
+const EARLY_END_SPAN: Duration = Duration::from_secs(2);
+
+/// Early ends in a row after which a permit is left to whoever else uses it. A single one may come from
+/// a target that restarts.
+const MAX_EARLY_ENDS: u32 = 2;
+
 /// Shortest time that all connections of a lane are out before they can count as silent. A shorter one
 /// would give up slow writes.
 const STUCK_SPAN: Duration = Duration::from_millis(1_500);
@@ -96,6 +103,17 @@
     silent_at: Option<MonoTime>,
     /// When each lent connection was lent.
     lent_since: Vec<(PermitNumber, MonoTime)>,
+    /// When the connection of each permit was opened, and how often it was closed soon after.
+    histories: Vec<PermitHistory>,
+    /// Permits that another instance has taken over, until the engine asks for them.
+    taken_over: Vec<PermitNumber>,
+}
+
+/// What became of the connections of one permit.
+struct PermitHistory {
+    permit: PermitNumber,
+    opened_at: MonoTime,
+    early_ends: u32,
 }
 
 /// The connections of this instance to one target for one service, with their queue.
@@ -129,6 +147,8 @@
             has_retry_timer: false,
             silent_at: None,
             lent_since: Vec::new(),
+            histories: Vec::new(),
+            taken_over: Vec::new(),
         };
         Arc::new(Self {
             service,
@@ -173,6 +193,12 @@
         (state.pool.counts(), state.queue.len())
     }
 
+    /// Permits whose connections were closed by the other end again and again soon after they were
+    /// opened: another instance uses them, too. Each is told once.
+    pub fn take_lost_permits(&self) -> Vec<PermitNumber> {
+        std::mem::take(&mut self.lock().taken_over)
+    }
+
     /// Refuses everything that waits; used when the target cannot serve it any more.
     pub fn refuse_waiting(&self, reason: RefusalReason) {
         let waiters = {
@@ -412,8 +438,14 @@
         connection: Option<Box<dyn TargetConnection>>,
         is_clean: bool,
     ) {
-        let connection = connection.filter(|connection| is_clean && !connection.is_closed());
+        let is_closed = connection
+            .as_ref()
+            .is_some_and(|connection| connection.is_closed());
+        let connection = connection.filter(|_| is_clean && !is_closed);
         let mut state = self.lock();
+        if is_closed {
+            state.note_end(permit, self.clock.now());
+        }
         if state
             .pool
             .give_back(permit, connection.is_some(), self.clock.now())
@@ -435,6 +467,7 @@
         {
             let mut state = self.lock();
             if state.pool.opened(permit, opened.is_ok(), self.clock.now()) {
+                state.note_open(permit, self.clock.now());
                 let idle = opened
                     .ok()
                     .map(|connection| IdleConnection { permit, connection });
@@ -485,6 +518,43 @@
         let closed = closed.map(|idle| idle.permit).collect::<Vec<_>>();
         for permit in closed {
             self.pool.give_back(permit, false, now);
+            self.note_end(permit, now);
+        }
+    }
+
+    fn note_open(&mut self, permit: PermitNumber, now: MonoTime) {
+        match self
+            .histories
+            .iter_mut()
+            .find(|history| history.permit == permit)
+        {
+            Some(history) => history.opened_at = now,
+            None => {
+                let history = PermitHistory {
+                    permit,
+                    opened_at: now,
+                    early_ends: 0,
+                };
+                self.histories.push(history);
+            }
+        }
+    }
+
+    /// A connection was closed by the other end.
+    fn note_end(&mut self, permit: PermitNumber, now: MonoTime) {
+        let found = self
+            .histories
+            .iter_mut()
+            .find(|history| history.permit == permit);
+        let Some(history) = found else { return };
+        if now.since(history.opened_at) > EARLY_END_SPAN {
+            history.early_ends = 0;
+            return;
+        }
+        history.early_ends += 1;
+        if history.early_ends >= MAX_EARLY_ENDS {
+            history.early_ends = 0;
+            self.taken_over.push(permit);
         }
     }
 
--- a/crates/proxy/src/peering.rs
+++ b/crates/proxy/src/peering.rs
@@ -35,9 +35,11 @@
         match ForwardedCall::decode(&call.body, now, now + call.time_left) {
             Ok(ForwardedCall::Service(call)) => engine.coordinate(call).await,
             Ok(ForwardedCall::Execute(call)) => {
-                let table = engine.table();
-                let service = table.and_then(|t| t.service(&call.team, &call.service).cloned());
-                match service {
+                let Some(table) = engine.table() else {
+                    let reason = RefusalReason::SettingsUnavailable;
+                    return EndedStream::refused(reason, Duration::ZERO);
+                };
+                match table.service(&call.team, &call.service).cloned() {
                     Some(service) => engine.execute_here(&service, call).await,
                     None => EndedStream::refused(RefusalReason::UnknownService, Duration::ZERO),
                 }
--- a/crates/proxy/src/reads.rs
+++ b/crates/proxy/src/reads.rs
@@ -172,9 +172,9 @@
     /// does not count against the budget.
     fn may_retry(&self, reason: RetryReason, outcome: RequestOutcome) -> bool {
         if let RequestOutcome::NotRun {
-            reason: RefusalReason::Unreachable,
-            ..
+            reason: refusal, ..
         } = outcome
+            && (refusal == RefusalReason::Unreachable || is_not_ready(refusal))
         {
             self.engine.metrics().record_retry(reason);
             return true;
@@ -351,6 +351,7 @@
             RequestOutcome::NotRun { reason, .. } => match reason {
                 RefusalReason::NoPrimary => RetryReason::NotPrimary,
                 RefusalReason::Unreachable | RefusalReason::TargetRefused => RetryReason::NotSent,
+                reason if is_not_ready(reason) => RetryReason::HolderRefused,
                 _ => return AttemptError::Final(outcome),
             },
             RequestOutcome::Unknown(_) => RetryReason::ConnectionLost,
@@ -444,6 +445,16 @@
     }
 }
 
+/// Whether an instance refused a call because it has just started or is about to stop.
+pub(crate) fn is_not_ready(reason: RefusalReason) -> bool {
+    matches!(
+        reason,
+        RefusalReason::SettingsUnavailable
+            | RefusalReason::UnknownService
+            | RefusalReason::Draining
+    )
+}
+
 async fn end_with(sender: &mpsc::Sender<AnswerPart>, outcome: RequestOutcome) {
     let _ = sender.send(AnswerPart::End(AnswerEnd::of(outcome))).await;
 }
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -141,7 +141,12 @@
         self.perform(engine, actions);
     }
 
-    fn take_list(&self, engine: &Arc<ProxyEngine>, entries: &[StoreEntry]) {
+    fn take_list(
+        &self,
+        engine: &Arc<ProxyEngine>,
+        entries: &[StoreEntry],
+        revision: StoreRevision,
+    ) {
         let live = engine.view().live();
         let documents = entries.iter().map(|entry| {
             (
@@ -153,7 +158,13 @@
         let (actions, was_ready) = {
             let mut spread = self.lock();
             let was_ready = spread.table().is_ready();
-            (spread.on_store_list(documents, &live), was_ready)
+            let mut actions = spread.on_store_list(documents, &live);
+            let listed = entries
+                .iter()
+                .map(|entry| entry.path.as_str())
+                .collect::<Vec<_>>();
+            actions.extend(spread.remove_unlisted(&listed, revision.0, &live));
+            (actions, was_ready)
         };
         let is_first = !was_ready && actions.is_empty();
         self.perform(engine, actions);
@@ -247,7 +258,7 @@
 ) -> Result<StoreRevision, StoreError> {
     let list = tokio::time::timeout(STORE_TIMEOUT, store.list(SETTINGS_PREFIX)).await;
     let (entries, revision) = list.unwrap_or(Err(StoreError::ReplyLost("timeout".to_string())))?;
-    engine.keeper().take_list(engine, &entries);
+    engine.keeper().take_list(engine, &entries, revision);
     Ok(revision)
 }
 
--- a/crates/proxy/src/shares.rs
+++ b/crates/proxy/src/shares.rs
@@ -199,6 +199,41 @@
         Some(lane)
     }
 
+    /// Leaves permits to another instance that uses them, too, until its hold-off has passed.
+    pub(crate) fn leave_contested(self: &Arc<Self>) {
+        let Some(table) = self.table() else { return };
+        let mut contested = Vec::new();
+        for entry in self.lock_lanes().iter() {
+            let service = table.service(&entry.team, &entry.service);
+            let target = service.and_then(|s| s.group.settings.target(entry.target));
+            let Some(target) = target else { continue };
+            contested.extend(
+                entry
+                    .lane
+                    .take_lost_permits()
+                    .into_iter()
+                    .map(|permit| PermitKey {
+                        team: entry.team.clone(),
+                        service: entry.service.clone(),
+                        target: target.name.clone(),
+                        permit,
+                    }),
+            );
+        }
+        for key in contested {
+            log::warn!(
+                "permit_taken_over team={} service={} target={} permit={}",
+                key.team,
+                key.service,
+                key.target,
+                key.permit
+            );
+            let now = self.clock().now();
+            let actions = self.lock_permits().table.taken_over(&key, now);
+            self.apply_permit_actions(actions);
+        }
+    }
+
     /// Gives back lost permits whose connection has been closed.
     pub(crate) fn finish_releases(self: &Arc<Self>) {
         let lost = {
--- a/crates/proxy/src/writes.rs
+++ b/crates/proxy/src/writes.rs
@@ -35,6 +35,7 @@
 use crate::execute::run_on;
 use crate::group::GroupRunner;
 use crate::group_state::KnownPrimary;
+use crate::reads::is_not_ready;
 use crate::table::DeclaredService;
 use crate::transactions::TransactionGuard;
 
@@ -182,6 +183,7 @@
                 RefusalReason::Unreachable | RefusalReason::TargetRefused => {
                     Some(RetryReason::NotSent)
                 }
+                reason if is_not_ready(reason) => Some(RetryReason::HolderRefused),
                 _ => None,
             },
             // With a request id the record in the group answers a write that has run already.
