--- a/crates/heatherhollow/tests/processes.rs
+++ b/crates/heatherhollow/tests/processes.rs
@@ -1,12 +1,14 @@
 //! Several processes of the program: one embedded instance and two entry instances in front of it.
 
+#[path = "support/process.rs"]
+mod process;
+
 use std::collections::BTreeMap;
 use std::io::BufRead;
 use std::io::BufReader;
 use std::process::Child;
 use std::process::Command;
 use std::process::ExitStatus;
-use std::process::Stdio;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -14,6 +16,8 @@
 
 use serde_json::Value;
 
+use crate::process::StartedProgram;
+
 /// Attempts to see a state that the programs reach by themselves, every [`LOOK_PAUSE`].
 const MAX_LOOKS: usize = 1_200;
 
@@ -81,36 +85,12 @@
     }
 
     fn spawn(options: &[&str]) -> Self {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_heatherhollow"))
-            .args(["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"])
-            .args(["--operator-listen", "127.0.0.1:0"])
-            .args(options)
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("the program starts");
-        let stderr = child.stderr.take().expect("a pipe");
-        let mut instance = Self {
-            child,
-            callers: String::new(),
-            peers: String::new(),
-        };
-        let mut lines = BufReader::new(stderr).lines();
-        while instance.callers.is_empty() || instance.peers.is_empty() {
-            let line = lines.next().expect("the program logs its addresses");
-            let line = line.expect("a readable log");
-            let address_after = |event: &str| {
-                let (_, address) = line.split_once(&format!("event={event} address="))?;
-                Some(address.to_string())
-            };
-            if let Some(address) = address_after("callers_listen") {
-                instance.callers = format!("http://{address}");
-            } else if let Some(address) = address_after("peers_listen") {
-                instance.peers = address;
-            }
+        let program = StartedProgram::start(options);
+        Self {
+            callers: format!("http://{}", program.address("callers_listen")),
+            peers: program.address("peers_listen"),
+            child: program.child,
         }
-        // A full pipe would stop the program.
-        thread::spawn(move || lines.for_each(drop));
-        instance
     }
 
     /// Waits until a request through this instance reaches the primary.
--- a/crates/heatherhollow/tests/support/mod.rs
+++ b/crates/heatherhollow/tests/support/mod.rs
@@ -2,14 +2,12 @@
 
 #![allow(dead_code, reason = "each test program uses a part of this module")]
 
+mod process;
+
 use std::fs;
-use std::io::BufRead;
-use std::io::BufReader;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
-use std::process::Command;
-use std::process::Stdio;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -19,6 +17,8 @@
 
 use heatherhollowctl::ExitStatus;
 
+use self::process::StartedProgram;
+
 /// Attempts to see a state that the program reaches by itself.
 const MAX_LOOKS: usize = 400;
 
@@ -77,40 +77,14 @@
     }
 
     fn spawn(token: &'static str, options: &[&str]) -> Self {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_heatherhollow"))
-            .args(["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"])
-            .args(["--operator-listen", "127.0.0.1:0"])
-            .args(options)
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("the program starts");
-        let stderr = child.stderr.take().expect("a pipe");
-        let mut proxy = Self {
-            child,
+        let program = StartedProgram::start(options);
+        Self {
             token,
-            callers: String::new(),
-            operators: String::new(),
-            peers: String::new(),
-        };
-        let mut lines = BufReader::new(stderr).lines();
-        while [&proxy.callers, &proxy.operators, &proxy.peers].contains(&&String::new()) {
-            let line = lines.next().expect("the program logs its addresses");
-            let line = line.expect("a readable log");
-            let address_after = |event: &str| {
-                let (_, address) = line.split_once(&format!("event={event} address="))?;
-                Some(address.to_string())
-            };
-            if let Some(address) = address_after("callers_listen") {
-                proxy.callers = format!("http://{address}");
-            } else if let Some(address) = address_after("operators_listen") {
-                proxy.operators = format!("http://{address}");
-            } else if let Some(address) = address_after("peers_listen") {
-                proxy.peers = address;
-            }
+            callers: format!("http://{}", program.address("callers_listen")),
+            operators: format!("http://{}", program.address("operators_listen")),
+            peers: program.address("peers_listen"),
+            child: program.child,
         }
-        // A full pipe would stop the program.
-        thread::spawn(move || lines.for_each(drop));
-        proxy
     }
 
     /// Runs the operators' program with the token for everything.
