--- a/crates/control/examples/slopes.rs
+++ b/crates/control/examples/slopes.rs
@@ -33,11 +33,11 @@
 use heatherhollow_control::SettingsSpread;
 use heatherhollow_control::centre_relays;
 use heatherhollow_control::group_observer;
-use heatherhollow_control::mix_bits;
 use heatherhollow_control::relays_by_uptime;
-use heatherhollow_control::stable_hash;
 use heatherhollow_types::Incarnation;
 use heatherhollow_types::MonoTime;
+use heatherhollow_types::mix_bits;
+use heatherhollow_types::stable_hash;
 
 use slopes_plan::Deployment;
 use slopes_plan::FAILURES_A_DAY;
--- a/crates/control/examples/slopes/run.rs
+++ b/crates/control/examples/slopes/run.rs
@@ -21,10 +21,10 @@
 use heatherhollow_control::SpreadAction;
 use heatherhollow_control::TeamSettings;
 use heatherhollow_control::centre_relays;
-use heatherhollow_control::mix_bits;
 use heatherhollow_control::team_path;
 use heatherhollow_types::Incarnation;
 use heatherhollow_types::MonoTime;
+use heatherhollow_types::mix_bits;
 
 use crate::slopes_plan::CHANGES_A_DAY;
 use crate::slopes_plan::Deployment;
--- a/crates/control/src/holder.rs
+++ b/crates/control/src/holder.rs
@@ -15,6 +15,7 @@
 use heatherhollow_types::TargetIndex;
 use heatherhollow_types::TargetName;
 use heatherhollow_types::TeamName;
+use heatherhollow_types::stable_hash;
 
 use crate::permits::PermitUse;
 use crate::permits::ServicePermits;
@@ -22,7 +23,6 @@
 use crate::rank::best_member;
 use crate::rank::group_observer;
 use crate::rank::observer_key;
-use crate::rank::stable_hash;
 use crate::settings::TopologySettings;
 
 /// Time between becoming the holder of a permit and taking it over without an answer.
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -11,14 +11,14 @@
 use heatherhollow_types::Incarnation;
 use heatherhollow_types::InstanceName;
 use heatherhollow_types::MonoTime;
+use heatherhollow_types::mix_bits;
+use heatherhollow_types::stable_hash;
 
 use crate::message::CentreBeat;
 use crate::message::MAX_UPDATES;
 use crate::message::RecordForm;
 use crate::rank::LiveMember;
 use crate::rank::LiveView;
-use crate::rank::mix_bits;
-use crate::rank::stable_hash;
 use crate::settings::TopologySettings;
 
 /// Most members, so that a faulty peer cannot fill the memory; twice the plan's 2,000 instances.
--- a/crates/control/src/probe.rs
+++ b/crates/control/src/probe.rs
@@ -11,6 +11,7 @@
 use heatherhollow_types::DataCentre;
 use heatherhollow_types::InstanceName;
 use heatherhollow_types::MonoTime;
+use heatherhollow_types::mix_bits;
 
 use crate::member::MemberRecord;
 use crate::member::MemberState;
@@ -23,7 +24,6 @@
 use crate::message::ProbeRequest;
 use crate::rank::LiveView;
 use crate::rank::centre_relays;
-use crate::rank::mix_bits;
 use crate::relay::RelayExchange;
 use crate::settings::TopologySettings;
 
--- a/crates/control/src/rank.rs
+++ b/crates/control/src/rank.rs
@@ -9,6 +9,8 @@
 use heatherhollow_types::InstanceName;
 use heatherhollow_types::RegionName;
 use heatherhollow_types::TeamName;
+use heatherhollow_types::mix_bits;
+use heatherhollow_types::stable_hash;
 
 use crate::settings::TopologySettings;
 
@@ -18,30 +20,6 @@
 /// Instances of a data centre that watch the key-value service.
 pub const WATCHERS_PER_CENTRE: usize = 2;
 
-/// Hash of the parts of a key; FNV-1a with a separator, the same in every build and on every machine.
-///
-/// ```
-/// use heatherhollow_control::stable_hash;
-/// assert_ne!(stable_hash(&["ab", "c"]), stable_hash(&["a", "bc"]));
-/// ```
-pub fn stable_hash(parts: &[&str]) -> u64 {
-    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
-    for part in parts {
-        // 0xff does not occur in UTF-8 text and so separates the parts.
-        for byte in part.bytes().chain([0xff]) {
-            hash = (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
-        }
-    }
-    mix_bits(hash)
-}
-
-/// Finaliser of SplitMix64: spreads every input bit over the whole output.
-pub fn mix_bits(mut bits: u64) -> u64 {
-    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    bits ^ (bits >> 31)
-}
-
 /// A member that may take on roles.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LiveMember {
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -7,6 +7,8 @@
 use heatherhollow_types::DataCentre;
 use heatherhollow_types::InstanceName;
 use heatherhollow_types::MonoTime;
+use heatherhollow_types::mix_bits;
+use heatherhollow_types::stable_hash;
 
 use crate::member::BULK_CHANGES;
 use crate::member::MemberRecord;
@@ -23,8 +25,6 @@
 use crate::probe::shuffle;
 use crate::rank::centre_relays;
 use crate::rank::link_ends;
-use crate::rank::mix_bits;
-use crate::rank::stable_hash;
 use crate::settings::TopologySettings;
 
 /// Unanswered exchanges after which a relay tries another partner.
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -10,6 +10,8 @@
 use heatherhollow_types::InstanceName;
 use heatherhollow_types::MonoTime;
 use heatherhollow_types::TeamName;
+use heatherhollow_types::mix_bits;
+use heatherhollow_types::stable_hash;
 
 use crate::declare::MAX_SETTINGS_BYTES;
 use crate::document::DocumentError;
@@ -24,9 +26,7 @@
 use crate::message::SettingsRevisions;
 use crate::message::SettingsWant;
 use crate::rank::LiveView;
-use crate::rank::mix_bits;
 use crate::rank::ranked_members;
-use crate::rank::stable_hash;
 use crate::rank::store_watchers;
 use crate::settings::TEAMS_PATH;
 use crate::settings::TOPOLOGY_PATH;
--- a/crates/control/tests/members.rs
+++ b/crates/control/tests/members.rs
@@ -12,11 +12,11 @@
 use heatherhollow_control::ProbeTiming;
 use heatherhollow_control::RegionSettings;
 use heatherhollow_control::TopologySettings;
-use heatherhollow_control::mix_bits;
 use heatherhollow_types::DataCentre;
 use heatherhollow_types::Incarnation;
 use heatherhollow_types::InstanceName;
 use heatherhollow_types::MonoTime;
+use heatherhollow_types::mix_bits;
 
 const CENTRES: [&str; 4] = ["a-1", "a-2", "b-1", "b-2"];
 const NODES: usize = 12;
--- a/crates/control/tests/permits.rs
+++ b/crates/control/tests/permits.rs
@@ -18,15 +18,15 @@
 use heatherhollow_control::TeamSettings;
 use heatherhollow_control::TopologySettings;
 use heatherhollow_control::group_observer;
-use heatherhollow_control::mix_bits;
 use heatherhollow_control::permit_holder;
-use heatherhollow_control::stable_hash;
 use heatherhollow_types::DataCentre;
 use heatherhollow_types::Incarnation;
 use heatherhollow_types::InstanceName;
 use heatherhollow_types::MonoTime;
 use heatherhollow_types::PermitNumber;
 use heatherhollow_types::TargetIndex;
+use heatherhollow_types::mix_bits;
+use heatherhollow_types::stable_hash;
 
 const CENTRES: [&str; 3] = ["aqaba-a", "aqaba-b", "amman-a"];
 const NODES: usize = 9;
--- a/crates/control/tests/settings.rs
+++ b/crates/control/tests/settings.rs
@@ -16,11 +16,11 @@
 use heatherhollow_control::SwapResolver;
 use heatherhollow_control::SwapStep;
 use heatherhollow_control::TeamSettings;
-use heatherhollow_control::mix_bits;
 use heatherhollow_types::DataCentre;
 use heatherhollow_types::Incarnation;
 use heatherhollow_types::InstanceName;
 use heatherhollow_types::MonoTime;
+use heatherhollow_types::mix_bits;
 
 const PATH: &str = "/teams/lidos";
 const NODES: usize = 7;
--- a/crates/experiment/src/cluster.rs
+++ b/crates/experiment/src/cluster.rs
@@ -216,7 +216,7 @@
 
 /// Number that differs between instances and is the same in every run.
 fn point_seed(instance: &InstanceName) -> u64 {
-    heatherhollow_control::stable_hash(&[instance.as_str()])
+    heatherhollow_types::stable_hash(&[instance.as_str()])
 }
 
 fn network_settings(deployment: &Deployment) -> NetworkSettings {
--- /dev/null
+++ b/crates/types/src/hash.rs
@@ -0,0 +1,26 @@
+//! A hash that is the same in every build and on every machine, for choices that instances have to agree
+//! on without talking to each other. The standard library's hasher does not promise that.
+
+/// Hash of the parts of a key; FNV-1a with a separator, the same in every build and on every machine.
+///
+/// ```
+/// use heatherhollow_types::stable_hash;
+/// assert_ne!(stable_hash(&["ab", "c"]), stable_hash(&["a", "bc"]));
+/// ```
+pub fn stable_hash(parts: &[&str]) -> u64 {
+    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+    for part in parts {
+        // 0xff does not occur in UTF-8 text and so separates the parts.
+        for byte in part.bytes().chain([0xff]) {
+            hash = (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
+        }
+    }
+    mix_bits(hash)
+}
+
+/// Finaliser of SplitMix64: spreads every input bit over the whole output.
+pub fn mix_bits(mut bits: u64) -> u64 {
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^ (bits >> 31)
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,12 +4,15 @@
 //! Everything here is plain data. The other crates of the workspace exchange these types at their
 //! borders, so that decision logic needs no I/O crate.
 
+mod hash;
 mod ids;
 mod outcome;
 mod position;
 mod statement;
 mod time;
 
+pub use hash::mix_bits;
+pub use hash::stable_hash;
 pub use ids::CandidateId;
 pub use ids::DataCentre;
 pub use ids::GroupName;
