--- a/crates/proxy/src/api.rs
+++ b/crates/proxy/src/api.rs
@@ -200,8 +200,11 @@
     let mut record = json!({
         "outcome": end.outcome.name(),
         "rows": end.rows,
-        "session": end.session,
     });
+    // A refusal before the token was read leaves the caller with the token that it has.
+    if !end.session.is_empty() {
+        record["session"] = json!(end.session);
+    }
     if let Some(reason) = end.outcome.reason() {
         record["reason"] = json!(reason);
     }
@@ -341,7 +344,9 @@
         lines.push_str(&part_line(&part));
         if let CallerPart::End(end) = part {
             let retry_after = match end.outcome {
-                RequestOutcome::NotRun { retry_after, .. } => Some(retry_after),
+                RequestOutcome::NotRun { retry_after, .. } if !retry_after.is_zero() => {
+                    Some(retry_after)
+                }
                 _ => None,
             };
             return CallerReply {
--- a/crates/proxy/src/reads.rs
+++ b/crates/proxy/src/reads.rs
@@ -147,7 +147,7 @@
             };
             match result {
                 Ok(answer) => return self.pass_on(answer, sender).await,
-                Err(AttemptError::Final(outcome)) => return end_with(sender, outcome).await,
+                Err(AttemptError::Final(outcome)) => return self.refuse(sender, outcome).await,
                 Err(AttemptError::Retry(reason, outcome)) => {
                     last = outcome;
                     if attempt + 1 < MAX_ATTEMPTS && !self.may_retry(reason, outcome) {
@@ -156,7 +156,24 @@
                 }
             }
         }
-        end_with(sender, last).await;
+        self.refuse(sender, last).await;
+    }
+
+    /// Ends the read without an answer; says how old the youngest one would be if age is the reason.
+    async fn refuse(&self, sender: &mpsc::Sender<AnswerPart>, outcome: RequestOutcome) {
+        let mut end = AnswerEnd::of(outcome);
+        if let RequestOutcome::NotRun {
+            reason: RefusalReason::TooOld,
+            ..
+        } = outcome
+        {
+            let now = self.runner.clock().now();
+            let best_age = self.runner.lock().tracker.best_age(now);
+            if let Some(age) = best_age {
+                end.detail = format!("the youngest answer on offer is {} ms old", age.as_millis());
+            }
+        }
+        let _ = sender.send(AnswerPart::End(end)).await;
     }
 
     /// Time without an answer after which a connection is given up. A read that was interrupted once
