Let the smoothed time of a slow target fade

Change: the smoothed time halves with each second without calls; it is pure logic of the limits crate with a property.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -6,6 +6,7 @@
 mod pool;
 mod queue;
 mod retry;
+mod smooth;
 
 pub use pool::ConnectionPool;
 pub use pool::PoolChoice;
@@ -20,3 +21,4 @@
 pub use retry::RetryBudget;
 pub use retry::RetrySettings;
 pub use retry::retry_delay;
+pub use smooth::SmoothedTime;
--- /dev/null
+++ b/crates/limits/tests/smooth.rs
@@ -0,0 +1,53 @@
+//! Fading of smoothed times.
+
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+
+use heatherhollow_limits::SmoothedTime;
+use heatherhollow_types::MonoTime;
+
+/// Longest call of the property; a caller's deadline bounds it.
+const LONGEST_CALL: Duration = Duration::from_secs(10);
+
+/// Time without calls after which a target counts as quick again.
+const FADE_SPAN: Duration = Duration::from_secs(15);
+
+/// Whether a target is taken for quick after calls of these times and a pause. `fades` is false for the
+/// variant without fading.
+fn is_quick_after_pause(calls: &[u16], fades: bool) -> bool {
+    let mut time = SmoothedTime::default();
+    let mut now = MonoTime::from_millis(1);
+    for &millis in calls {
+        let took = Duration::from_millis(u64::from(millis)).min(LONGEST_CALL);
+        now = now + took;
+        time.record(took, now);
+    }
+    let seen_at = if fades { now + FADE_SPAN } else { now };
+    time.value(seen_at) < Duration::from_millis(1)
+}
+
+quickcheck! {
+    // Guards against a target that gets no calls for good, because it was slow when it got the last
+    // ones.
+    fn slow_calls_are_forgotten(calls: Vec<u16>) -> bool {
+        is_quick_after_pause(&calls, true)
+    }
+
+    // Guards against a smoothed time outside the range of its samples.
+    fn value_stays_below_the_longest_call(calls: Vec<u16>) -> bool {
+        let mut time = SmoothedTime::default();
+        let now = MonoTime::from_millis(1);
+        for &millis in &calls {
+            time.record(Duration::from_millis(u64::from(millis)), now);
+        }
+        let longest = calls.iter().max().copied().unwrap_or(0);
+        time.value(now) <= Duration::from_millis(u64::from(longest))
+    }
+}
+
+// The first property notices a time that does not fade.
+#[test]
+fn time_without_fading_is_caught() {
+    assert!(!is_quick_after_pause(&[5_000, 5_000], false));
+}
--- a/crates/proxy/src/holders.rs
+++ b/crates/proxy/src/holders.rs
@@ -215,7 +215,10 @@
 
 impl Drop for CountedStream {
     fn drop(&mut self) {
-        let took = self.runner.clock().now().since(self.started);
-        self.runner.load(self.target).call_ended(self.is_read, took);
+        let now = self.runner.clock().now();
+        let took = now.since(self.started);
+        self.runner
+            .load(self.target)
+            .call_ended(self.is_read, took, now);
     }
 }
--- a/crates/proxy/src/load.rs
+++ b/crates/proxy/src/load.rs
@@ -1,46 +1,58 @@
 //! Calls of this instance that are under way, by target.
 
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::time::Duration;
 
+use heatherhollow_limits::SmoothedTime;
+use heatherhollow_types::MonoTime;
+
+#[derive(Debug, Default)]
+struct LoadState {
+    calls: u32,
+    reads: u32,
+    time: SmoothedTime,
+}
+
 /// Calls of this instance to one target, for the choice of routes.
 #[derive(Debug, Default)]
 pub(crate) struct TargetLoad {
-    calls: AtomicU32,
-    reads: AtomicU32,
-    /// Smoothed time of a call, in microseconds.
-    call_micros: AtomicU64,
+    /// Innermost lock.
+    state: Mutex<LoadState>,
 }
 
 impl TargetLoad {
+    fn lock(&self) -> MutexGuard<'_, LoadState> {
+        self.state
+            .lock()
+            .expect("no holder of the load lock panics")
+    }
+
     /// Calls that run or wait.
     pub(crate) fn in_flight(&self) -> u32 {
-        self.calls.load(Ordering::Relaxed)
+        self.lock().calls
     }
 
     /// Reads among them.
     pub(crate) fn reads_in_flight(&self) -> u32 {
-        self.reads.load(Ordering::Relaxed)
+        self.lock().reads
     }
 
     /// Smoothed time of a call.
-    pub(crate) fn statement_time(&self) -> Duration {
-        Duration::from_micros(self.call_micros.load(Ordering::Relaxed))
+    pub(crate) fn statement_time(&self, now: MonoTime) -> Duration {
+        self.lock().time.value(now)
     }
 
     pub(crate) fn call_started(&self, is_read: bool) {
-        self.calls.fetch_add(1, Ordering::Relaxed);
-        self.reads.fetch_add(u32::from(is_read), Ordering::Relaxed);
+        let mut state = self.lock();
+        state.calls += 1;
+        state.reads += u32::from(is_read);
     }
 
-    pub(crate) fn call_ended(&self, is_read: bool, took: Duration) {
-        self.calls.fetch_sub(1, Ordering::Relaxed);
-        self.reads.fetch_sub(u32::from(is_read), Ordering::Relaxed);
-        // Two calls that end together may lose one sample, which does no harm.
-        let old = self.call_micros.load(Ordering::Relaxed);
-        let new = (old * 7 + took.as_micros() as u64) / 8;
-        self.call_micros.store(new, Ordering::Relaxed);
+    pub(crate) fn call_ended(&self, is_read: bool, took: Duration, now: MonoTime) {
+        let mut state = self.lock();
+        state.calls -= 1;
+        state.reads -= u32::from(is_read);
+        state.time.record(took, now);
     }
 }
--- a/crates/proxy/src/reads.rs
+++ b/crates/proxy/src/reads.rs
@@ -179,7 +179,8 @@
     /// Time without an answer after which a connection is given up. A read that was interrupted once
     /// waits to its deadline, since its statement may simply be slow.
     fn doubt_after(&self, target: TargetIndex) -> Option<Duration> {
-        let usual = self.runner.load(target).statement_time();
+        let now = self.runner.clock().now();
+        let usual = self.runner.load(target).statement_time(now);
         self.interrupted
             .is_empty()
             .then(|| MIN_READ_DOUBT.max(usual * 8))
@@ -267,7 +268,7 @@
                 in_flight: load.in_flight(),
                 reads_in_flight: load.reads_in_flight(),
                 slots: slots.into(),
-                statement_time: load.statement_time(),
+                statement_time: load.statement_time(now),
             }
         });
         views.collect()
