--- a/crates/proxy/src/api.rs
+++ b/crates/proxy/src/api.rs
@@ -421,29 +421,28 @@
     run(engine, team, service, action, headers, body).await
 }
 
-#[rocket::post("/v1/<team>/<service>/transactions/<id>/commit", data = "<body>")]
-async fn commit(
+/// Commits or rolls back, as the last segment of the path says.
+#[rocket::post("/v1/<team>/<service>/transactions/<id>/<end>", data = "<body>")]
+async fn finish(
     engine: &EngineState,
     team: &str,
     service: &str,
     id: &str,
+    end: &str,
     headers: CallerHeaders,
     body: Data<'_>,
 ) -> CallerReply {
-    let action = step_action(id, TransactionStep::Commit);
-    run(engine, team, service, action, headers, body).await
-}
-
-#[rocket::post("/v1/<team>/<service>/transactions/<id>/rollback", data = "<body>")]
-async fn rollback(
-    engine: &EngineState,
-    team: &str,
-    service: &str,
-    id: &str,
-    headers: CallerHeaders,
-    body: Data<'_>,
-) -> CallerReply {
-    let action = step_action(id, TransactionStep::Rollback);
+    let action = match end {
+        "commit" => step_action(id, TransactionStep::Commit),
+        "rollback" => step_action(id, TransactionStep::Rollback),
+        _ => {
+            let message = "commit or rollback is expected".to_string();
+            Err(FieldError {
+                field: "path",
+                message,
+            })
+        }
+    };
     run(engine, team, service, action, headers, body).await
 }
 
@@ -488,9 +487,7 @@
 
 /// Routes of the callers' interface.
 pub fn routes() -> Vec<Route> {
-    rocket::routes![
-        read, write, begin, within, commit, rollback, healthz, readyz, metrics
-    ]
+    rocket::routes![read, write, begin, within, finish, healthz, readyz, metrics]
 }
 
 /// Catchers that answer errors in the same form as requests.
