Never pass on a part of a long write answer as whole

Cause: answers that are held until their write is confirmed kept 1,024 rows and dropped the others, so that a scan inside a transaction ended as done with a part of its rows. Change: all rows are held up to 4 MB; beyond that the outcome is unknown, or the transaction is rolled back, with the reason in the detail.

--- a/crates/proxy/src/writes.rs
+++ b/crates/proxy/src/writes.rs
@@ -19,7 +19,6 @@
 use heatherhollow_ports::TargetCall;
 use heatherhollow_types::CallKind;
 use heatherhollow_types::FailureReason;
-use heatherhollow_types::MonoTime;
 use heatherhollow_types::RefusalReason;
 use heatherhollow_types::RequestOutcome;
 use heatherhollow_types::RetryReason;
@@ -37,10 +36,10 @@
 use crate::group_state::KnownPrimary;
 use crate::reads::is_not_ready;
 use crate::table::DeclaredService;
-use crate::transactions::TransactionGuard;
 
-/// Most rows of a write's answer; they are held back until the write is confirmed.
-const MAX_WRITE_ROWS: usize = 1_024;
+/// Most bytes of rows of an answer that is held back until its write is confirmed. A longer answer is
+/// never cut and passed on as whole: its outcome is unknown, or its transaction is rolled back.
+const MAX_HELD_BYTES: usize = 4 * 1024 * 1024;
 
 /// Times that a write which did not run is sent to a primary.
 const MAX_ATTEMPTS: usize = 8;
@@ -64,23 +63,36 @@
     }
 }
 
-/// Reads a whole answer.
+/// Reads a whole answer, or none of it if it is too long to be held.
 async fn collect(stream: &mut dyn AnswerStream) -> (Vec<Bytes>, AnswerEnd) {
     let mut rows = Vec::new();
+    let mut held_bytes = 0;
     loop {
         match stream.next_part().await {
             Some(AnswerPart::Head(_)) => {}
-            Some(AnswerPart::Row(row)) if rows.len() < MAX_WRITE_ROWS => rows.push(row),
-            Some(AnswerPart::Row(_)) => {}
-            Some(AnswerPart::End(end)) => return (rows, end),
-            None => {
-                let outcome = RequestOutcome::Unknown(UnknownReason::ConnectionLost);
-                return (rows, AnswerEnd::of(outcome));
+            Some(AnswerPart::Row(row)) => {
+                held_bytes += row.len();
+                if held_bytes > MAX_HELD_BYTES {
+                    let text = format!("the answer has more than {MAX_HELD_BYTES} bytes of rows");
+                    return (Vec::new(), broken_off(text));
+                }
+                rows.push(row);
             }
+            Some(AnswerPart::End(end)) => return (rows, end),
+            None => return (Vec::new(), broken_off(String::new())),
         }
     }
 }
 
+/// End of an answer that was not read to its end.
+fn broken_off(detail: String) -> AnswerEnd {
+    let outcome = RequestOutcome::Unknown(UnknownReason::ConnectionLost);
+    AnswerEnd {
+        detail,
+        ..AnswerEnd::of(outcome)
+    }
+}
+
 impl ProxyEngine {
     /// Coordinates a write in its own transaction.
     pub(crate) async fn coordinate_write(
@@ -301,7 +313,7 @@
         {
             lent.mark_clean(false);
             transaction.lent = lent;
-            put_back(guard, transaction, clock.now());
+            guard.put_back(Box::new(transaction), clock.now());
         }
         Box::new(CollectedAnswer {
             rows: rows.into_iter(),
@@ -310,14 +322,6 @@
     }
 }
 
-fn put_back(
-    guard: TransactionGuard,
-    transaction: crate::transactions::OpenTransaction,
-    now: MonoTime,
-) {
-    guard.put_back(Box::new(transaction), now);
-}
-
 /// Only a commit can have an unknown effect: without it the target rolls the transaction back.
 fn step_outcome(step: TransactionStep, outcome: RequestOutcome) -> RequestOutcome {
     match outcome {
