Remove repeated field parsing and fetching

Cause: names of forwarded calls and the document of a team were read by the same lines in two places each. Change: one function for each; no change in behaviour.

--- a/crates/heatherhollowctl/src/requests.rs
+++ b/crates/heatherhollowctl/src/requests.rs
@@ -23,16 +23,21 @@
     format!("ctl-{micros}-{}-{thread}", std::process::id())
 }
 
+/// The stored document of a team, with its revision.
+fn fetch_document(team: &TeamName, line: &CommandLine) -> Result<Value, CommandError> {
+    let client = ServerClient::new(line);
+    client
+        .get(&format!("/operator/settings/{team}"))?
+        .into_body()
+}
+
 /// Prints the stored settings of a team.
 pub(crate) fn get(
     team: &TeamName,
     line: &CommandLine,
     console: &mut Console<'_>,
 ) -> Result<(), CommandError> {
-    let client = ServerClient::new(line);
-    let body = client
-        .get(&format!("/operator/settings/{team}"))?
-        .into_body()?;
+    let body = fetch_document(team, line)?;
     if line.is_json {
         console.line(&body);
         return Ok(());
@@ -53,10 +58,7 @@
     line: &CommandLine,
     console: &mut Console<'_>,
 ) -> Result<(), CommandError> {
-    let client = ServerClient::new(line);
-    let body = client
-        .get(&format!("/operator/settings/{team}"))?
-        .into_body()?;
+    let body = fetch_document(team, line)?;
     let changes = body["recent_changes"].as_array();
     let changes = changes.into_iter().flatten().rev();
     if line.is_json {
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -4,6 +4,7 @@
 //! the coordinator chooses the target and hands an [`ExecuteCall`] to an instance that holds
 //! connections to it. Each of the three may be the same instance.
 
+use std::str::FromStr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -310,14 +311,8 @@
         _ => return Err(CallError::BadField("requirement")),
     };
     Ok(ServiceCall {
-        team: message
-            .team
-            .parse()
-            .map_err(|_| CallError::BadField("team"))?,
-        service: message
-            .service
-            .parse()
-            .map_err(|_| CallError::BadField("service"))?,
+        team: read_name(&message.team, "team")?,
+        service: read_name(&message.service, "service")?,
         action,
         statement: message.statement,
         request: read_request(&message.request)?,
@@ -341,14 +336,8 @@
         .get(message.step as usize)
         .ok_or(CallError::BadField("step"))?;
     Ok(ExecuteCall {
-        team: message
-            .team
-            .parse()
-            .map_err(|_| CallError::BadField("team"))?,
-        service: message
-            .service
-            .parse()
-            .map_err(|_| CallError::BadField("service"))?,
+        team: read_name(&message.team, "team")?,
+        service: read_name(&message.service, "service")?,
         target: TargetIndex(target),
         kind: *kind,
         is_strict: message.is_strict,
@@ -366,6 +355,10 @@
     })
 }
 
+fn read_name<T: FromStr>(text: &str, field: &'static str) -> Result<T, CallError> {
+    text.parse().map_err(|_| CallError::BadField(field))
+}
+
 fn read_request(text: &str) -> Result<Option<RequestId>, CallError> {
     if text.is_empty() {
         return Ok(None);
