Borrow connections beyond half shares; date positions by quorum

Reads stopped when the primary was gone, since only it dated positions.

Change: half of the limit is divided into shares, the rest is borrowed; reports of all but one target date a position without the primary, so reads go on at replicas; a run surveys before it asks for the duty.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -241,6 +241,7 @@
             if let Some(lane) = state.lane_mut(target) {
                 lane.leaving_since = is_leaving.then_some(now);
             }
+            state.note_size(now);
             return;
         };
         let lane = state.lane_mut(target).expect("a found target has a lane");
@@ -266,6 +267,7 @@
         if claims_lead && state.primary != Some(target) {
             state.control(target, ControlPurpose::Observe, TargetCall::Status, now);
         }
+        state.note_size(now);
         let lane = state.lane_mut(target).expect("a found target has a lane");
         if is_reborn {
             lane.must_confirm = true;
@@ -303,6 +305,9 @@
             self.unlist_target(&target, now);
         }
         self.listed_since.get_or_insert(now);
+        for group in &mut self.groups {
+            group.note_size(now);
+        }
     }
 
     /// Removes targets that have not been listed for the grace time.
@@ -316,7 +321,9 @@
         for target in gone {
             self.close_lane(group, target, now);
             let state = &mut self.groups[group.0];
-            if let Some(lane) = state.lanes[target.as_usize()].take() {
+            let removed = state.lanes[target.as_usize()].take();
+            state.note_size(now);
+            if let Some(lane) = removed {
                 info!(
                     "target_removed group={} target={}",
                     state.name, lane.entry.target
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -47,6 +47,10 @@
 /// is for the answer to reach the client.
 const LEADERLESS_FRACTION: f64 = 0.95;
 
+/// Age up to which a replica is considered for a read of the present state. The position that such a
+/// read asks for decides; this only keeps the router from leaving out all replicas.
+const MIN_ROUTE_AGE: Duration = Duration::from_secs(1);
+
 /// Where a waiting statement goes.
 enum Placement {
     Target(TargetIndex),
@@ -114,7 +118,8 @@
             };
             let opening = lane.opening();
             let is_enough = opening >= wanted.min(self.settings.max_opening);
-            let has_room = lane.connections.len() < share || state.has_surplus(target, now);
+            let has_room =
+                lane.connections.len() < share || state.has_surplus(target, self.instances, now);
             if is_enough || !has_room || now < lane.open_after {
                 return;
             }
@@ -162,12 +167,15 @@
         if now < request.not_before {
             return Placement::Wait;
         }
-        if session.needs_primary() {
-            return match usable_primary(state, now, self.settings.leaving_limit) {
-                Some(target) => Placement::Target(target),
-                None => Placement::Wait,
-            };
+        let primary = usable_primary(state, now, self.settings.leaving_limit);
+        if let Some(target) = primary.filter(|_| session.needs_primary()) {
+            return Placement::Target(target);
+        }
+        if session.is_writing() {
+            return Placement::Wait;
         }
+        // Without a primary, a read of the present state can run at a replica that has every commit
+        // that any target held after the read began.
         let own = session.position;
         let complete = session.evidence_from().unwrap_or(now);
         let required = state.required_position(complete, own);
@@ -182,7 +190,7 @@
             .collect::<Vec<_>>();
         let query = RouteQuery {
             requirement: required.map_or(ReadRequirement::None, ReadRequirement::AtLeast),
-            max_age: request.route.freshness.max_age(),
+            max_age: request.route.freshness.max_age().max(MIN_ROUTE_AGE),
             max_wait: MAX_REPLICA_WAIT,
             deadline: request.deadline(),
         };
@@ -296,7 +304,7 @@
         let after = match (needs_position, evidence_from) {
             (true, Some(complete)) => {
                 let found = state.required_position(complete, session.position);
-                if session.needs_primary() || found.is_none() {
+                if session.is_writing() || found.is_none() {
                     // The leadership changed since the connection was lent.
                     self.take_back(id, client, now);
                     return;
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -5,6 +5,7 @@
 use heatherhollow_failover::MonitorSettings;
 use heatherhollow_failover::PrimaryMonitor;
 use heatherhollow_failover::Suspicion;
+use heatherhollow_limits::WindowMaximum;
 use heatherhollow_routing::FreshnessTracker;
 use heatherhollow_types::GroupPosition;
 use heatherhollow_types::MonoTime;
@@ -56,6 +57,10 @@
     pub sampled_at: MonoTime,
     /// When a client last used the group.
     pub used_at: MonoTime,
+    /// Latest time at which the known primary is known to have led.
+    pub led_at: Option<MonoTime>,
+    /// Number of targets that are listed and not leaving, as the greatest of the last seconds.
+    pub size: WindowMaximum,
     pub promotion: Option<PromotionRun>,
     pub promotion_after: MonoTime,
 }
@@ -80,6 +85,8 @@
             check_wanted: None,
             sampled_at: MonoTime::ZERO,
             used_at: MonoTime::ZERO,
+            led_at: None,
+            size: WindowMaximum::new(SIZE_WINDOW),
             promotion: None,
             promotion_after: MonoTime::ZERO,
         }
@@ -126,12 +133,11 @@
         let limit = self.rule.as_ref().map_or(DEFAULT_MAX_CONNECTIONS, |rule| {
             rule.max_connections as usize
         });
-        let usable = limit - limit / RESERVED_DIVISOR;
-        (usable / instances.max(1)).max(1)
+        (limit / SHARED_DIVISOR / instances.max(1)).max(1)
     }
 
     /// Whether one more connection to a target beyond the share leaves room for others' shares.
-    pub fn has_surplus(&self, target: TargetIndex, now: MonoTime) -> bool {
+    pub fn has_surplus(&self, target: TargetIndex, instances: usize, now: MonoTime) -> bool {
         let Some(lane) = self.lane(target) else {
             return false;
         };
@@ -142,7 +148,8 @@
             Some((at, report)) if now.since(at) <= REPORT_LIFETIME => {
                 (report.connections as usize) + lane.opening() < limit - limit / RESERVED_DIVISOR
             }
-            _ => false,
+            // Without a recent count, a few more are tried; the target refuses those above its limit.
+            _ => lane.connections.len() < self.share(instances) + UNCOUNTED_SURPLUS,
         }
     }
 
@@ -153,6 +160,61 @@
         (sync as usize).max(1)
     }
 
+    /// Number of targets of which one holds every acknowledged commit: all but those copies that may
+    /// be elsewhere. Targets that are gone count as long as they may have held the only copy.
+    pub fn copies_quorum(&self, now: MonoTime) -> usize {
+        let sync = self
+            .rule
+            .as_ref()
+            .map_or(0, |rule| rule.sync_replicas as usize);
+        let is_long_gone = self
+            .leaderless_since
+            .is_some_and(|since| now.since(since) >= LONG_LEADERLESS);
+        let size = if is_long_gone {
+            self.staying()
+        } else {
+            self.size.value(now).max(self.staying())
+        };
+        size.max(1).saturating_sub(sync).max(1)
+    }
+
+    /// Records how many targets the group has.
+    pub fn note_size(&mut self, now: MonoTime) {
+        let staying = self.staying();
+        self.size.record(staying, now);
+    }
+
+    fn staying(&self) -> usize {
+        let staying = self.targets().filter(|(_, lane)| !lane.is_leaving());
+        staying.count()
+    }
+
+    /// Dates the position that all acknowledged commits are at or before, from the reports of enough
+    /// targets: each of these commits is in the log of one of them.
+    pub fn observe_quorum(&mut self, now: MonoTime) {
+        let needed = self.copies_quorum(now);
+        if !self.is_synchronous() {
+            return;
+        }
+        let mut reports = self
+            .targets()
+            .filter_map(|(_, lane)| lane.report)
+            .filter(|(_, report)| report.term == self.term)
+            .collect::<Vec<_>>();
+        if reports.len() < needed {
+            return;
+        }
+        reports.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
+        let asked_at = reports[needed - 1].0;
+        let longest = reports[..needed]
+            .iter()
+            .map(|(_, report)| report.received)
+            .max();
+        if let Some(position) = longest {
+            self.tracker.observe_quorum(asked_at, position);
+        }
+    }
+
     /// Whether acknowledged commits are held by a replica.
     pub fn is_synchronous(&self) -> bool {
         self.rule
@@ -194,6 +256,7 @@
         self.term = term;
         self.term_base = None;
         self.tracker = FreshnessTracker::default();
+        self.led_at = None;
         self.check = None;
     }
 
@@ -202,9 +265,10 @@
         self.check_wanted = Some(self.check_wanted.map_or(time, |wanted| wanted.max(time)));
     }
 
-    /// Latest time at which the known primary is known to have led.
-    pub fn led_at(&self) -> Option<MonoTime> {
-        self.tracker.last_term_check(self.term)
+    /// Records that the known primary led when a replica was asked at `asked_at`.
+    pub fn observe_lead(&mut self, asked_at: MonoTime) {
+        self.led_at = self.led_at.max(Some(asked_at));
+        self.tracker.observe_term_check(asked_at, self.term);
     }
 
     /// Position that a read has to find in a log: all commits up to `complete`, and the session's own.
@@ -249,10 +313,26 @@
 /// Connections a target is assumed to accept while its group is not declared.
 const DEFAULT_MAX_CONNECTIONS: usize = 16;
 
-/// One part in so many of the connections of a target stays free for instances that start, and for
-/// connections of dead instances that linger.
+/// One part in so many of the connections of a target is divided into shares; the rest is borrowed for
+/// short times. If all instances lose power at once, their connections linger at the targets for
+/// seconds, and as many again have to fit beside them.
+const SHARED_DIVISOR: usize = 2;
+
+/// One part in so many of the connections of a target is not borrowed, so that instances that start
+/// find room.
 const RESERVED_DIVISOR: usize = 8;
 
+/// Connections beyond the share that are tried without a recent count of the target's connections.
+const UNCOUNTED_SURPLUS: usize = 2;
+
+/// Time for which a target that is gone counts as part of its group: a commit may have had its only
+/// other copy there, until the remaining replicas, which may lag for seconds, have it too.
+const SIZE_WINDOW: Duration = Duration::from_secs(10);
+
+/// Time without a primary after which targets that are gone do not count any more: they will not come
+/// back, and the group would stay without a primary for ever.
+const LONG_LEADERLESS: Duration = Duration::from_secs(15);
+
 /// Age up to which a target's count of connections is used.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
 
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -120,7 +120,7 @@
                 state.term_base.get_or_insert(position);
                 state.sampled_at = state.sampled_at.max(sent_at);
                 if state.targets().count() == 1 {
-                    state.tracker.observe_term_check(sent_at, report.term);
+                    state.observe_lead(sent_at);
                 }
             }
             TargetRole::Primary => self.demote(group, target, now),
@@ -134,7 +134,7 @@
                     state.clear_primary(now);
                 }
                 if is_current && report.paused_for.is_none() && state.primary.is_some() {
-                    state.tracker.observe_term_check(sent_at, report.term);
+                    state.observe_lead(sent_at);
                 }
             }
         }
@@ -149,9 +149,7 @@
                 None => lane.paused_since = None,
             }
         }
-        if self.groups[group.0].term != known_term {
-            self.abandon_old_term(group, now);
-        }
+        self.groups[group.0].observe_quorum(now);
         self.release_held(group, now);
     }
 
@@ -182,11 +180,6 @@
         );
     }
 
-    /// Ends what runs at the primary of an earlier term: it cannot be proved any more.
-    fn abandon_old_term(&mut self, group: GroupIndex, now: MonoTime) {
-        self.release_held(group, now);
-    }
-
     /// Asks a replica for evidence of leadership if some is wanted and none is under way.
     pub(crate) fn want_evidence(&mut self, group: GroupIndex, now: MonoTime) {
         let timeout = self.settings.status_timeout / 2;
@@ -194,7 +187,7 @@
         let Some(wanted) = state.check_wanted else {
             return;
         };
-        if state.led_at().is_some_and(|led_at| led_at >= wanted) {
+        if state.led_at.is_some_and(|led_at| led_at >= wanted) {
             state.check_wanted = None;
             return;
         }
@@ -251,13 +244,10 @@
             .map(|(at, _)| now.since(at));
         let needs_sample = now.since(state.sampled_at) >= pause;
         let must_confirm = state.lane(primary).is_some_and(|lane| lane.must_confirm);
-        if needs_sample || must_confirm || report_age.is_none_or(|age| age >= pause * 2) {
+        if needs_sample || must_confirm || report_age.is_none_or(|age| age >= pause * 4) {
             state.control(primary, ControlPurpose::Observe, TargetCall::Status, now);
         }
-        if state
-            .led_at()
-            .is_none_or(|led_at| now.since(led_at) >= pause)
-        {
+        if state.led_at.is_none_or(|led_at| now.since(led_at) >= pause) {
             state.want_check(now);
         }
         state.suspicion = state.monitor.tick(now);
--- a/crates/gateway/src/promotion.rs
+++ b/crates/gateway/src/promotion.rs
@@ -1,8 +1,8 @@
 //! Promotion of a replica, step by step.
 //!
-//! A run holds the duty, asks every target for its status, and then decides: nothing to do if a primary
-//! answers; a planned change if the primary is leaving; otherwise a replacement. Before the order it
-//! pauses every target that is not a primary, so that a primary that is only cut off can get no more
+//! A run asks every target for its status and then decides: nothing to do if a primary answers; a
+//! planned change if the primary is leaving; otherwise a replacement. It then acquires the duty, so that
+//! false alarms cost the store nothing. Before the order it pauses every target that is not a primary, so that a primary that is only cut off can get no more
 //! commits acknowledged. At most as many targets as hold copies of a commit beside the primary may
 //! miss; every acknowledged commit is then in the log of a paused target, and the one with the longest
 //! log is promoted. A run that ends early resumes what it paused.
@@ -45,13 +45,24 @@
     ForgottenPause,
 }
 
+/// What a run is to do once it has the duty.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PromotionPlan {
+    /// Replace a primary that does not answer.
+    Replace,
+    /// Have a leaving primary step down and replace it.
+    Change(TargetIndex),
+    /// Resume targets that were left paused.
+    Resume,
+}
+
 /// Step of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum PromotionStep {
-    /// Waits for the duty.
-    Duty,
     /// Asks every target for its status.
     Survey,
+    /// Waits for the duty.
+    Duty,
     /// Asks the leaving primary to step down.
     StepDown,
     /// Waits for a replica to have all of the old primary's log.
@@ -76,6 +87,7 @@
 #[derive(Debug)]
 pub(crate) struct PromotionRun {
     cause: PromotionCause,
+    plan: PromotionPlan,
     step: PromotionStep,
     step_at: MonoTime,
     began_at: MonoTime,
@@ -96,7 +108,8 @@
     fn new(cause: PromotionCause, term: TermNumber, now: MonoTime) -> Self {
         Self {
             cause,
-            step: PromotionStep::Duty,
+            plan: PromotionPlan::Replace,
+            step: PromotionStep::Survey,
             step_at: now,
             began_at: now,
             old_term: term,
@@ -211,8 +224,24 @@
                 .map_or("none", |lane| lane.entry.target.as_str())
         );
         state.promotion = Some(PromotionRun::new(cause, state.term, now));
+        let targets = self.all_targets(group);
+        self.enter_step(
+            group,
+            PromotionStep::Survey,
+            targets,
+            TargetCall::Status,
+            now,
+        );
+    }
+
+    /// Goes on with a plan once the duty is held.
+    fn acquire_duty(&mut self, group: GroupIndex, plan: PromotionPlan, now: MonoTime) {
+        if let Some(run) = &mut self.groups[group.0].promotion {
+            run.plan = plan;
+            run.enter(PromotionStep::Duty, Vec::new(), now);
+        }
         match self.duty {
-            DutyState::Held(token) if token.valid_until > now => self.survey(group, now),
+            DutyState::Held(token) if token.valid_until > now => self.carry_out(group, now),
             DutyState::Asked => {}
             _ => {
                 self.duty = DutyState::Asked;
@@ -221,6 +250,25 @@
         }
     }
 
+    fn carry_out(&mut self, group: GroupIndex, now: MonoTime) {
+        let Some(run) = &self.groups[group.0].promotion else {
+            return;
+        };
+        let fence = run.fence;
+        match run.plan {
+            PromotionPlan::Replace => self.pause_all(group, now),
+            PromotionPlan::Change(primary) => {
+                let step = PromotionStep::StepDown;
+                let call = TargetCall::StepDown(fence);
+                self.enter_step(group, step, vec![primary], call, now);
+            }
+            PromotionPlan::Resume => {
+                self.resume_paused(group, now);
+                self.end_promotion(group, "resumed", now);
+            }
+        }
+    }
+
     /// The duty was granted or not.
     pub(crate) fn take_duty(&mut self, token: Option<DutyToken>, now: MonoTime) {
         self.duty = match token {
@@ -237,7 +285,7 @@
                 .as_ref()
                 .is_some_and(|run| run.step == PromotionStep::Duty);
             if waits && token.is_some() {
-                self.survey(GroupIndex(i), now);
+                self.carry_out(GroupIndex(i), now);
             } else if waits {
                 self.end_promotion(GroupIndex(i), "duty_not_granted", now);
             }
@@ -253,17 +301,6 @@
         }
     }
 
-    fn survey(&mut self, group: GroupIndex, now: MonoTime) {
-        let targets = self.all_targets(group);
-        self.enter_step(
-            group,
-            PromotionStep::Survey,
-            targets,
-            TargetCall::Status,
-            now,
-        );
-    }
-
     fn all_targets(&self, group: GroupIndex) -> Vec<TargetIndex> {
         self.groups[group.0].targets().map(|(i, _)| i).collect()
     }
@@ -353,33 +390,27 @@
             .find(|(_, report)| report.role == TargetRole::Primary && report.term == newest);
         let highest_pause = run.reports().filter_map(|(_, report)| report.paused_for);
         let fence = highest_pause.max().unwrap_or(newest).max(newest).next();
-        if let Some((target, _)) = leader {
-            let is_leaving = state.lane(target).is_some_and(|lane| lane.is_leaving());
-            if !is_leaving {
-                self.resume_paused(group, now);
-                self.end_promotion(group, "primary_answers", now);
-                return;
-            }
-            if let Some(run) = &mut self.groups[group.0].promotion {
-                run.fence = fence;
-            }
-            if !self.has_successor(group, target) {
-                self.end_promotion(group, "no_successor", now);
-                return;
-            }
-            self.enter_step(
-                group,
-                PromotionStep::StepDown,
-                vec![target],
-                TargetCall::StepDown(fence),
-                now,
-            );
-            return;
-        }
+        let is_paused = run.reports().any(|(_, report)| report.paused_for.is_some());
+        let is_forgotten = run.cause == PromotionCause::ForgottenPause && is_paused;
         if let Some(run) = &mut self.groups[group.0].promotion {
             run.fence = fence;
+            run.old_term = newest;
+        }
+        let Some((leader, _)) = leader else {
+            self.acquire_duty(group, PromotionPlan::Replace, now);
+            return;
+        };
+        let state = &self.groups[group.0];
+        let is_leaving = state.lane(leader).is_some_and(|lane| lane.is_leaving());
+        if is_leaving && self.has_successor(group, leader) {
+            self.acquire_duty(group, PromotionPlan::Change(leader), now);
+        } else if is_leaving {
+            self.end_promotion(group, "no_successor", now);
+        } else if is_forgotten {
+            self.acquire_duty(group, PromotionPlan::Resume, now);
+        } else {
+            self.end_promotion(group, "primary_answers", now);
         }
-        self.pause_all(group, now);
     }
 
     /// Whether a target beside the leaving primary answers, stays and is nearly caught up.
@@ -468,8 +499,21 @@
             .reports()
             .filter(|(_, report)| report.paused_for.is_some())
             .collect::<Vec<_>>();
+        let newest = run.reports().map(|(_, report)| report.term).max();
+        if newest.is_some_and(|newest| newest > run.old_term && run.stepped_down.is_none()) {
+            self.end_promotion(group, "promoted_meanwhile", now);
+            return;
+        }
+        let known = fenced.len() + usize::from(run.stepped_down.is_some());
+        let needed = state.copies_quorum(now);
+        let is_short = known < needed;
         let missing = run.replies.len() - fenced.len();
-        if missing > missing_limit(state, run) {
+        if is_short || missing > missing_limit(state, run) {
+            info!(
+                "targets_missing group={} fenced={} needed={needed} missing={missing}",
+                state.name,
+                fenced.len()
+            );
             self.end_promotion(group, "targets_missing", now);
             return;
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -224,7 +224,7 @@
             return false;
         };
         let state = &self.groups[request.group.0];
-        state.term == request.term && state.led_at().is_some_and(|led_at| led_at >= needs)
+        state.term == request.term && state.led_at.is_some_and(|led_at| led_at >= needs)
     }
 
     /// Delivers held answers for which there is evidence now; those of an earlier term are given up.
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -217,18 +217,22 @@
         }
     }
 
-    /// Whether the present request can only run at the primary.
-    pub fn needs_primary(&self) -> bool {
-        let Some(request) = &self.request else {
-            return false;
-        };
+    /// Whether the present request writes, or may be followed by a write of its transaction.
+    pub fn is_writing(&self) -> bool {
         let is_plain_transaction = self
             .open_transaction()
             .is_some_and(|open| !open.is_read_only);
-        request.kind == RequestKind::Write
-            || is_plain_transaction
-            || self.has_doubt
-            || request.route.freshness == RouteFreshness::Primary
+        let is_write = |request: &ClientRequest| request.kind == RequestKind::Write;
+        is_plain_transaction || self.request.as_ref().is_some_and(is_write)
+    }
+
+    /// Whether the present request belongs at the primary as long as there is one.
+    pub fn needs_primary(&self) -> bool {
+        let needs_present_state = self
+            .request
+            .as_ref()
+            .is_some_and(|request| request.route.freshness == RouteFreshness::Primary);
+        self.is_writing() || self.has_doubt || needs_present_state
     }
 
     /// Time at which a primary has to have led for its answer to the present request to be fresh.
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -7,6 +7,7 @@
 mod queue;
 mod retry;
 mod smooth;
+mod window;
 
 pub use pool::ConnectionPool;
 pub use pool::PoolChoice;
@@ -22,3 +23,4 @@
 pub use retry::RetrySettings;
 pub use retry::retry_delay;
 pub use smooth::SmoothedTime;
+pub use window::WindowMaximum;
--- a/crates/routing/src/tracker.rs
+++ b/crates/routing/src/tracker.rs
@@ -31,6 +31,9 @@
 /// Greatest number of terms with checks that are kept; samples of lower terms are removed.
 const MAX_CHECKED_TERMS: usize = 8;
 
+/// Term of samples that are shown by the logs of enough targets. Terms of primaries start at 1.
+const QUORUM_TERM: TermNumber = TermNumber(0);
+
 /// Age of a replica's last answer beyond which its lag is unknown.
 const LAG_LIFETIME: Duration = Duration::from_secs(5);
 
@@ -144,6 +147,13 @@
         }
     }
 
+    /// Records a position that all commits acknowledged before `asked_at` are at or before, as shown by
+    /// the logs of enough targets; no check of a term is needed.
+    pub fn observe_quorum(&mut self, asked_at: MonoTime, position: GroupPosition) {
+        self.observe_primary(asked_at, QUORUM_TERM, position);
+        self.observe_term_check(asked_at, QUORUM_TERM);
+    }
+
     /// Records the term history of a target; the one with the highest last term is kept.
     pub fn observe_history(&mut self, history: &TermHistory) {
         if history.last_term() <= self.history.last_term() {
--- a/crates/runner/src/membership.rs
+++ b/crates/runner/src/membership.rs
@@ -3,12 +3,12 @@
 //! The count is the highest of the last seconds: entries vanish during outages of the store, and a
 //! share of connections that is too small does less harm than one that is too large.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
 use log::info;
 
+use heatherhollow_limits::WindowMaximum;
 use heatherhollow_ports::StoreError;
 use heatherhollow_ports::StorePort;
 use heatherhollow_ports::SwapReply;
@@ -23,12 +23,21 @@
 /// Renewals of the lease in its span.
 const RENEWALS: u32 = 3;
 
-/// Names of live instances.
-#[derive(Debug, Default)]
+/// Entries of live instances.
+#[derive(Debug)]
 pub struct MemberCount {
     /// Sorted paths of entries.
     paths: Vec<String>,
-    counts: VecDeque<(MonoTime, usize)>,
+    maximum: WindowMaximum,
+}
+
+impl Default for MemberCount {
+    fn default() -> Self {
+        Self {
+            paths: Vec::new(),
+            maximum: WindowMaximum::new(COUNT_WINDOW),
+        }
+    }
 }
 
 impl MemberCount {
@@ -52,25 +61,10 @@
         self.paths = paths;
     }
 
-    /// The highest count of the window.
+    /// The highest count of the window; at least this instance.
     pub fn count(&mut self, now: MonoTime) -> usize {
-        let present = self.paths.len().max(1);
-        while self
-            .counts
-            .back()
-            .is_some_and(|(_, count)| *count <= present)
-        {
-            self.counts.pop_back();
-        }
-        self.counts.push_back((now, present));
-        while self
-            .counts
-            .front()
-            .is_some_and(|(at, _)| now.since(*at) > COUNT_WINDOW)
-        {
-            self.counts.pop_front();
-        }
-        self.counts.front().map_or(present, |(_, count)| *count)
+        self.maximum.record(self.paths.len().max(1), now);
+        self.maximum.value(now)
     }
 }
 
