Resume followers after a promotion; place lagging reads by request

The first order failed since a status answer of the step before counted as the answer to the pause. Reads that met lagging targets used up their attempts within 250 ms.

Ruled out: a lost order (the platform answered 200), the store.

Change: a step takes only answers to its own call; busy fencing calls are made again; followers are resumed once they report the new term; a target that lacked a position is left out for that request only.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -185,7 +185,8 @@
                 let is_primary = state.primary == Some(i);
                 // Without a proved position only the primary can serve.
                 let is_unproved = !is_primary && required.is_none();
-                self.view(state, i, lane, demand, is_unproved, now)
+                let is_out = is_unproved || request.is_lagging(i, now);
+                self.view(state, i, lane, demand, is_out, now)
             })
             .collect::<Vec<_>>();
         let query = RouteQuery {
@@ -211,12 +212,12 @@
         target: TargetIndex,
         lane: &TargetLane,
         demand: &[usize],
-        is_unproved: bool,
+        is_unfit: bool,
         now: MonoTime,
     ) -> TargetView {
         let is_primary = state.primary == Some(target);
         let in_flight = lane.in_use() + demand[target.as_usize()];
-        let is_out = lane.is_unreachable() || now < lane.rest_until || is_unproved;
+        let is_out = lane.is_unreachable() || now < lane.rest_until || is_unfit;
         let is_unusable_primary =
             is_primary && usable_primary(state, now, self.settings.leaving_limit).is_none();
         let share = state.share(self.instances).max(lane.connections.len());
@@ -375,9 +376,11 @@
         if let Some(lane) = state.lane_mut(place.target) {
             lane.silent_since.get_or_insert(now);
             if let Some(connection) = lane.connection_mut(id) {
+                let is_control = matches!(purpose, CallPurpose::Control(_));
                 connection.calls.push_back(PendingCall {
                     purpose,
                     sent_at: now,
+                    control: is_control.then(|| call.clone()),
                 });
             }
         }
@@ -415,7 +418,7 @@
         };
         request.stage = RequestStage::Queued;
         let group = request.group;
-        if request.attempts >= max_attempts || now >= request.deadline() {
+        if request.failures >= max_attempts || now >= request.deadline() {
             let text = "no target took the statement";
             self.refuse_request(
                 client,
--- a/crates/gateway/src/lane.rs
+++ b/crates/gateway/src/lane.rs
@@ -48,10 +48,12 @@
 }
 
 /// A call without an answer yet.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(crate) struct PendingCall {
     pub purpose: CallPurpose,
     pub sent_at: MonoTime,
+    /// The control call, so that it can be made again if the target was busy.
+    pub control: Option<TargetCall>,
 }
 
 /// A control call that waits for a connection.
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -19,6 +19,7 @@
 use crate::lane::ConnectionId;
 use crate::lane::ConnectionPhase;
 use crate::lane::ControlPurpose;
+use crate::lane::PendingCall;
 use crate::lane::TargetLane;
 use crate::message::StatusReport;
 use crate::message::TargetAnswer;
@@ -31,7 +32,7 @@
         &mut self,
         place: ConnectionPlace,
         purpose: ControlPurpose,
-        sent_at: MonoTime,
+        sent: PendingCall,
         answer: &TargetAnswer,
         now: MonoTime,
     ) {
@@ -42,13 +43,22 @@
             .filter(|_| answer.is_success());
         match report {
             Some(report) => {
-                self.take_report(place.group, place.target, sent_at, report, now);
+                self.take_report(place.group, place.target, sent.sent_at, report, now);
                 if purpose == ControlPurpose::Promotion {
-                    self.promotion_report(place.group, place.target, report, now);
+                    let call = sent.control.as_ref();
+                    self.promotion_report(place.group, place.target, call, report, now);
                 }
             }
             None => {
-                if answer.error() != Some(&TargetCode::Busy) {
+                let is_busy = answer.error() == Some(&TargetCode::Busy);
+                if let (true, ControlPurpose::Promotion, Some(call)) =
+                    (is_busy, purpose, sent.control)
+                {
+                    // The step of the promotion ends by its time limit.
+                    self.groups[place.group.0].control(place.target, purpose, call, now);
+                    return;
+                }
+                if !is_busy {
                     info!(
                         "status_unreadable connection={} code={:?} rows={}",
                         place.connection,
@@ -232,6 +242,17 @@
         self.close_surplus(group, now);
         let interval = self.settings.observe_interval;
         let state = &mut self.groups[group.0];
+        let paused = state
+            .targets()
+            .filter(|(_, lane)| {
+                let is_old = |(at, _): (MonoTime, StatusReport)| now.since(at) >= interval;
+                lane.paused_since.is_some() && lane.report.is_none_or(is_old)
+            })
+            .map(|(i, _)| i)
+            .collect::<Vec<_>>();
+        for target in paused {
+            state.control(target, ControlPurpose::Observe, TargetCall::Status, now);
+        }
         let is_used = now.since(state.used_at) < RECENT_USE;
         let pause = if is_used { interval } else { interval * 2 };
         let Some(primary) = state.primary else {
--- a/crates/gateway/src/promotion.rs
+++ b/crates/gateway/src/promotion.rs
@@ -97,6 +97,8 @@
     fence: TermNumber,
     /// Replies of the present step, by target index.
     replies: Vec<(TargetIndex, TargetReply)>,
+    /// The call that the present step makes; answers to calls of earlier steps may still come.
+    call: TargetCall,
     /// End of the log of a primary that has stepped down.
     stepped_down: Option<(TargetIndex, GroupPosition)>,
     paused: Vec<TargetIndex>,
@@ -115,6 +117,7 @@
             old_term: term,
             fence: term.next(),
             replies: Vec::new(),
+            call: TargetCall::Status,
             stepped_down: None,
             paused: Vec::new(),
             chosen: None,
@@ -320,6 +323,7 @@
         }
         if let Some(run) = &mut state.promotion {
             run.enter(step, targets, now);
+            run.call = call;
         }
     }
 
@@ -328,10 +332,13 @@
         &mut self,
         group: GroupIndex,
         target: TargetIndex,
+        call: Option<&TargetCall>,
         report: StatusReport,
         now: MonoTime,
     ) {
-        if let Some(run) = &mut self.groups[group.0].promotion {
+        if let Some(run) = &mut self.groups[group.0].promotion
+            && call == Some(&run.call)
+        {
             run.record(target, TargetReply::Report(report));
             self.drive_promotion(group, now);
         }
@@ -436,8 +443,6 @@
                 return;
             }
             run.stepped_down = Some((target, report.received));
-            // The step raised the old primary's term; a pause has to be above it.
-            run.fence = run.fence.max(report.term).next();
         }
         let targets = self.all_targets(group);
         self.enter_step(
@@ -570,6 +575,7 @@
             OrderReply::Accepted | OrderReply::Unknown => {
                 let chosen = run.chosen.into_iter().collect();
                 run.enter(PromotionStep::Confirm, chosen, now);
+                run.call = TargetCall::Status;
             }
             OrderReply::Rejected | OrderReply::NotSent => {
                 self.end_promotion(GroupIndex(i), "order_refused", now);
@@ -583,11 +589,13 @@
         let Some(run) = &mut state.promotion else {
             return;
         };
-        let is_done = run
+        let new_term = run
             .reports()
-            .any(|(_, report)| report.role == TargetRole::Primary && report.term > run.old_term);
-        if is_done {
-            self.end_promotion(group, "done", now);
+            .filter(|(_, report)| report.role == TargetRole::Primary)
+            .map(|(_, report)| report.term)
+            .find(|term| *term > run.old_term);
+        if let Some(term) = new_term {
+            self.resume_followers(group, term, effect, now);
             return;
         }
         if now.since(run.step_at) >= effect {
@@ -602,6 +610,50 @@
         }
     }
 
+    /// Resumes the paused targets once they know the new term; before that they could take records of
+    /// the old primary.
+    fn resume_followers(
+        &mut self,
+        group: GroupIndex,
+        term: TermNumber,
+        effect: Duration,
+        now: MonoTime,
+    ) {
+        let state = &mut self.groups[group.0];
+        let Some(run) = &mut state.promotion else {
+            return;
+        };
+        let followers = run
+            .paused
+            .iter()
+            .copied()
+            .filter(|target| Some(*target) != run.chosen)
+            .collect::<Vec<_>>();
+        let is_polled = now.since(run.polled_at) >= POLL_INTERVAL;
+        let is_late = now.since(run.step_at) >= effect;
+        if is_polled {
+            run.polled_at = now;
+        }
+        let mut waits = false;
+        for target in followers {
+            let Some(lane) = state.lane(target) else {
+                continue;
+            };
+            let call = match lane.report {
+                Some((_, report)) if report.paused_for.is_none() && report.term >= term => continue,
+                Some((_, report)) if report.term >= term => TargetCall::Resume,
+                _ => TargetCall::Status,
+            };
+            waits = true;
+            if is_polled {
+                state.control(target, ControlPurpose::Observe, call, now);
+            }
+        }
+        if !waits || is_late {
+            self.end_promotion(group, "done", now);
+        }
+    }
+
     /// Resumes targets that report a pause.
     fn resume_paused(&mut self, group: GroupIndex, now: MonoTime) {
         let state = &mut self.groups[group.0];
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -24,7 +24,6 @@
 use crate::lane::ConnectionId;
 use crate::lane::ConnectionPhase;
 use crate::lane::ControlPurpose;
-use crate::lane::PendingCall;
 use crate::message::AnswerEnd;
 use crate::message::ClientCode;
 use crate::message::ClientId;
@@ -71,18 +70,18 @@
             self.drop_connection(id, now);
             return;
         };
-        self.observe_answer(place, call, &answer, now);
+        self.observe_answer(place, call.sent_at, &answer, now);
         match call.purpose {
             CallPurpose::Start => self.finish_start(place, &answer, now),
             CallPurpose::Setup => self.finish_setup(id, &answer, now),
             CallPurpose::Begin => self.finish_begin(place, &answer, now),
-            CallPurpose::Statement => self.finish_statement(place, call, answer, now),
+            CallPurpose::Statement => self.finish_statement(place, call.sent_at, answer, now),
             CallPurpose::Rollback => self.finish_rollback(id, &answer, now),
             CallPurpose::Control(purpose) => {
                 if let Some(connection) = self.connection_mut(id) {
                     connection.idle_since = now;
                 }
-                self.take_control_answer(place, purpose, call.sent_at, &answer, now);
+                self.take_control_answer(place, purpose, call, &answer, now);
             }
         }
     }
@@ -150,7 +149,7 @@
         self.note_target_error(place, answer, now);
         self.statistics.retried(RetryReason::HolderRefused);
         self.release_or_close(id, answer.state, now);
-        self.delay(client, now);
+        self.note_refusal(client, place.target, answer.error(), now);
         self.requeue(client, now);
     }
 
@@ -165,7 +164,7 @@
     fn finish_statement(
         &mut self,
         place: ConnectionPlace,
-        call: PendingCall,
+        sent_at: MonoTime,
         answer: TargetAnswer,
         now: MonoTime,
     ) {
@@ -176,7 +175,7 @@
             return;
         };
         if let Some(lane) = self.groups[place.group.0].lane_mut(place.target) {
-            lane.statement_time.record(now.since(call.sent_at), now);
+            lane.statement_time.record(now.since(sent_at), now);
         }
         if !answer.is_success() {
             self.fail_statement(place, client, answer, now);
@@ -366,13 +365,13 @@
             } else {
                 self.release_or_close(id, answer.state, now);
             }
-            self.delay(client, now);
+            self.note_refusal(client, place.target, Some(code), now);
             self.requeue(client, now);
             return;
         }
         if has_not_run && is_open && answer.state == SessionState::Transaction {
             // The transaction is still open at the target: the statement is sent again there.
-            self.delay(client, now);
+            self.note_refusal(client, place.target, Some(code), now);
             if let Some(request) = self.client_mut(client).and_then(|s| s.request.as_mut()) {
                 request.stage = RequestStage::Preparing(id);
             }
@@ -448,7 +447,7 @@
             return;
         };
         match answer.error() {
-            Some(TargetCode::Busy | TargetCode::Lagging) => lane.rest_until = now + rest,
+            Some(TargetCode::Busy) => lane.rest_until = now + rest,
             Some(TargetCode::ReadOnly) if is_primary => {
                 info!(
                     "primary_read_only group={} target={}",
@@ -471,11 +470,29 @@
         }
     }
 
-    /// Keeps a client's request from being placed for a moment.
-    fn delay(&mut self, client: ClientId, now: MonoTime) {
-        let until = now + self.settings.busy_backoff;
-        if let Some(request) = self.client_mut(client).and_then(|s| s.request.as_mut()) {
-            request.not_before = until;
+    /// Notes on a request why a target did not run it, so that it is placed elsewhere or later.
+    fn note_refusal(
+        &mut self,
+        client: ClientId,
+        target: TargetIndex,
+        code: Option<&TargetCode>,
+        now: MonoTime,
+    ) {
+        let backoff = self.settings.busy_backoff;
+        let lag_backoff = self.settings.lag_backoff;
+        let Some(request) = self.client_mut(client).and_then(|s| s.request.as_mut()) else {
+            return;
+        };
+        match code {
+            Some(TargetCode::Lagging) => {
+                request.lagging.retain(|(lagging, _)| *lagging != target);
+                request.lagging.push((target, now + lag_backoff));
+            }
+            Some(TargetCode::Busy | TargetCode::ReadOnly) => request.not_before = now + backoff,
+            _ => {
+                request.not_before = now + backoff;
+                request.failures += 1;
+            }
         }
     }
 
@@ -640,6 +657,9 @@
             }
             _ => {
                 self.statistics.retried(RetryReason::ConnectionLost);
+                if let Some(request) = self.client_mut(client).and_then(|s| s.request.as_mut()) {
+                    request.failures += 1;
+                }
                 self.requeue(client, now);
             }
         }
@@ -682,7 +702,7 @@
     fn observe_answer(
         &mut self,
         place: ConnectionPlace,
-        call: PendingCall,
+        sent_at: MonoTime,
         answer: &TargetAnswer,
         now: MonoTime,
     ) {
@@ -699,9 +719,9 @@
         };
         if is_primary && position.term <= state.term {
             let term = state.term;
-            state.tracker.observe_primary(call.sent_at, term, position);
+            state.tracker.observe_primary(sent_at, term, position);
             state.term_base.get_or_insert(position);
-            state.sampled_at = state.sampled_at.max(call.sent_at);
+            state.sampled_at = state.sampled_at.max(sent_at);
         } else if !is_primary {
             state.tracker.observe_replica(place.target, now, position);
         }
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -4,6 +4,7 @@
 
 use heatherhollow_types::GroupPosition;
 use heatherhollow_types::MonoTime;
+use heatherhollow_types::TargetIndex;
 use heatherhollow_types::TermNumber;
 
 use crate::catalog::RouteFreshness;
@@ -58,9 +59,14 @@
     /// When the first byte of its transaction, or of itself, arrived.
     pub fresh_from: MonoTime,
     pub sent_at: MonoTime,
+    /// Connections that it was lent.
     pub attempts: u32,
+    /// Attempts that failed for another reason than a busy or lagging target.
+    pub failures: u32,
     /// Not offered to a target before this time.
     pub not_before: MonoTime,
+    /// Targets that lacked its position, each with the time until which they are not tried again.
+    pub lagging: Vec<(TargetIndex, MonoTime)>,
     /// Term of the primary that it was sent to.
     pub term: TermNumber,
     /// Whether it was sent to the primary of that term.
@@ -69,6 +75,13 @@
 }
 
 impl ClientRequest {
+    /// Whether a target lacked its position a short time ago.
+    pub fn is_lagging(&self, target: TargetIndex, now: MonoTime) -> bool {
+        self.lagging
+            .iter()
+            .any(|(lagging, until)| *lagging == target && now < *until)
+    }
+
     /// When its time limit passes.
     pub fn deadline(&self) -> MonoTime {
         self.received_at + self.route.timeout
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -53,9 +53,12 @@
     pub limit_backoff: Duration,
     /// Part of a statement's time limit that it may wait for a connection.
     pub queue_fraction: f64,
-    /// Time before a statement is offered again to a target that answered busy or lagging.
+    /// Time before a statement is offered again after a target was busy or did not lead.
     pub busy_backoff: Duration,
-    /// Attempts at one statement, as long as none of them may have run a write.
+    /// Time before a statement is offered again to a target that lacked its position.
+    pub lag_backoff: Duration,
+    /// Attempts at one statement that may fail for other reasons, as long as none of them may have run
+    /// a write.
     pub max_attempts: u32,
     /// Queries of one client that wait for the answer to an earlier one.
     pub max_pipelined: usize,
@@ -89,11 +92,12 @@
             status_timeout: Duration::from_millis(400),
             connect_timeout: Duration::from_millis(600),
             max_opening: 2,
-            surplus_idle: Duration::from_millis(500),
+            surplus_idle: Duration::from_millis(1_000),
             limit_backoff: Duration::from_millis(500),
             queue_fraction: 0.6,
             busy_backoff: Duration::from_millis(20),
-            max_attempts: 6,
+            lag_backoff: Duration::from_millis(120),
+            max_attempts: 4,
             max_pipelined: 64,
             max_prepared: 64,
             missing_grace: Duration::from_millis(2_500),
