Ask quiet replicas while reads wait; hold session starts without settings

Cause: a replica that had not answered for 5 s has no known lag and was never chosen again, so reads waited for the two lagging targets while the third was idle (seen in the inputs now logged with each refusal). A restarted instance refused sessions for the 20 ms until its first list.

Change: replicas without a recent answer are asked while reads wait; an acknowledged commit counts as evidence of leadership; observations each 650 ms; starts wait up to 1.5 s for a configuration; nothing is borrowed for 3.5 s after a start or a refusal by a limit.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -31,35 +31,71 @@
     }
 
     pub(crate) fn start_client(&mut self, id: ClientId, database: String, now: MonoTime) {
-        let refusal = match &self.catalog {
-            None => Some((ClientCode::Busy, "no configuration has been read yet")),
-            Some(catalog) if catalog.route(&database).is_none() => {
-                Some((ClientCode::UnknownDatabase, "no route has this database"))
-            }
-            Some(_) => None,
-        };
+        let is_known = self
+            .catalog
+            .as_ref()
+            .map(|catalog| catalog.route(&database).is_some());
         let Some(session) = self.client_mut(id) else {
             return;
         };
-        if session.database.is_some() {
+        if session.database.is_some() || session.waiting_start.is_some() {
             self.reject_malformed(id, ClientCode::Malformed);
             return;
         }
-        if let Some((code, text)) = refusal {
-            if self.may_log(now) {
-                info!("session_refused client={id} database={database} code={code:?}");
+        match is_known {
+            None => {
+                session.waiting_start = Some((database, now));
+                return;
             }
-            self.actions.push(GatewayAction::RejectClient {
-                client: id,
-                code,
-                text: text.to_string(),
-            });
-            return;
+            Some(false) => {
+                let text = "no route has this database";
+                self.reject_start(id, &database, ClientCode::UnknownDatabase, text, now);
+                return;
+            }
+            Some(true) => {}
         }
         session.database = Some(database);
         self.send_answer(id, Ok(None), None, Vec::new());
     }
 
+    fn reject_start(
+        &mut self,
+        client: ClientId,
+        database: &str,
+        code: ClientCode,
+        text: &str,
+        now: MonoTime,
+    ) {
+        if self.may_log(now) {
+            info!("session_refused client={client} database={database} code={code:?}");
+        }
+        self.actions.push(GatewayAction::RejectClient {
+            client,
+            code,
+            text: text.to_string(),
+        });
+    }
+
+    /// Refuses sessions that have waited too long for the first configuration.
+    pub(crate) fn expire_starts(&mut self, now: MonoTime) {
+        let patience = self.settings.start_patience;
+        let late = self
+            .clients
+            .iter_mut()
+            .filter_map(|session| {
+                let (_, since) = session.waiting_start.as_ref()?;
+                if now.since(*since) < patience {
+                    return None;
+                }
+                Some((session.id, session.waiting_start.take()?.0))
+            })
+            .collect::<Vec<_>>();
+        for (client, database) in late {
+            let text = "no configuration has been read yet";
+            self.reject_start(client, &database, ClientCode::Busy, text, now);
+        }
+    }
+
     pub(crate) fn reject_malformed(&mut self, client: ClientId, code: ClientCode) {
         info!("client_malformed client={client} code={code:?}");
         self.actions.push(GatewayAction::RejectClient {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -190,6 +190,7 @@
     }
 
     fn tick(&mut self, now: MonoTime) {
+        self.expire_starts(now);
         self.expire_requests(now);
         self.resend_delayed(now);
         for i in 0..self.groups.len() {
@@ -215,6 +216,14 @@
             self.groups[group.0].rule = Some(rule.clone());
         }
         self.catalog = Some(catalog);
+        let waiting = self
+            .clients
+            .iter_mut()
+            .filter_map(|session| Some((session.id, session.waiting_start.take()?.0)))
+            .collect::<Vec<_>>();
+        for (client, database) in waiting {
+            self.start_client(client, database, now);
+        }
     }
 
     /// Index of a group, which is added if it is not known.
@@ -239,6 +248,7 @@
             let is_leaving = entry.state == TargetState::Draining;
             let target = state.add(entry);
             if let Some(lane) = state.lane_mut(target) {
+                lane.surplus_after = now + self.settings.surplus_pause;
                 lane.leaving_since = is_leaving.then_some(now);
             }
             state.note_size(now);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use log::info;
+use log::trace;
 
 use heatherhollow_routing::RouteChoice;
 use heatherhollow_routing::RouteQuery;
@@ -25,6 +26,7 @@
 use crate::group::index_of;
 use crate::lane::CallPurpose;
 use crate::lane::ConnectionId;
+use crate::lane::ControlPurpose;
 use crate::lane::PendingCall;
 use crate::lane::TargetLane;
 use crate::message::ClientCode;
@@ -98,11 +100,40 @@
         // Refusals above may have let later queries of a client into the queue.
         waiting.append(&mut self.groups[group.0].queue);
         self.groups[group.0].queue = waiting;
+        self.probe_for_reads(group, now);
         for (i, wanted) in demand.into_iter().enumerate() {
             self.open_wanted(group, index_of(i), wanted, now);
         }
     }
 
+    /// Asks replicas that have not answered for a while for their position, if reads wait: they may be
+    /// fresh enough although others lag.
+    fn probe_for_reads(&mut self, group: GroupIndex, now: MonoTime) {
+        let has_waiting_read = self.groups[group.0].queue.iter().any(|client| {
+            self.client(*client)
+                .is_some_and(|session| !session.is_writing())
+        });
+        if !has_waiting_read {
+            return;
+        }
+        let interval = self.settings.probe_interval;
+        let state = &mut self.groups[group.0];
+        let quiet = state
+            .targets()
+            .filter(|(i, lane)| {
+                let is_quiet = lane
+                    .answered_at
+                    .is_none_or(|answered_at| now.since(answered_at) >= interval);
+                state.primary != Some(*i) && is_quiet && lane.in_use() == 0
+            })
+            .map(|(i, _)| i)
+            .collect::<Vec<_>>();
+        for target in quiet {
+            state.control(target, ControlPurpose::Observe, TargetCall::Status, now);
+        }
+        self.send_control(group, now);
+    }
+
     fn open_wanted(
         &mut self,
         group: GroupIndex,
@@ -142,9 +173,9 @@
                 }
                 // One connection beyond the share is for control, as all others may rest in
                 // transactions.
-                let may_open = lane.opening() == 0
-                    && now >= lane.open_after
-                    && lane.connections.len() <= share;
+                let room = share + usize::from(now >= lane.surplus_after);
+                let may_open =
+                    lane.opening() == 0 && now >= lane.open_after && lane.connections.len() < room;
                 if may_open {
                     self.open_connection(group, target, false, now);
                 }
@@ -369,20 +400,20 @@
         now: MonoTime,
     ) {
         let Some(place) = self.place(id) else { return };
+        trace!("target_called connection={id} purpose={purpose:?}");
         let state = &mut self.groups[place.group.0];
         if state.primary == Some(place.target) {
             state.monitor.probe_sent(now);
         }
-        if let Some(lane) = state.lane_mut(place.target) {
-            lane.silent_since.get_or_insert(now);
-            if let Some(connection) = lane.connection_mut(id) {
-                let is_control = matches!(purpose, CallPurpose::Control(_));
-                connection.calls.push_back(PendingCall {
-                    purpose,
-                    sent_at: now,
-                    control: is_control.then(|| call.clone()),
-                });
-            }
+        if let Some(lane) = state.lane_mut(place.target)
+            && let Some(connection) = lane.connection_mut(id)
+        {
+            let is_control = matches!(purpose, CallPurpose::Control(_));
+            connection.calls.push_back(PendingCall {
+                purpose,
+                sent_at: now,
+                control: is_control.then(|| call.clone()),
+            });
         }
         self.actions.push(GatewayAction::CallTarget {
             connection: id,
@@ -445,16 +476,17 @@
     ) {
         self.statistics.refused(reason);
         let may_log = self.may_log(now);
+        let inputs = may_log.then(|| self.describe_inputs(client, now));
         let Some(session) = self.client_mut(client) else {
             return;
         };
         let Some(request) = session.request.take() else {
             return;
         };
-        if may_log {
+        if let Some(inputs) = inputs {
             info!(
                 "statement_refused id={} client={client} reason={reason} waited_ms={} \
-                 attempts={} database={}",
+                 attempts={} database={} {inputs}",
                 request.query.id,
                 now.since(request.received_at).as_millis(),
                 request.attempts,
@@ -481,6 +513,52 @@
         self.advance_client(client, now);
     }
 
+    /// What decided about a request, for its log line: version of the declarations, term, position asked
+    /// for, and for each target its role, connections in use, lag and the age of its last report.
+    fn describe_inputs(&self, client: ClientId, now: MonoTime) -> String {
+        let Some(session) = self.client(client) else {
+            return String::new();
+        };
+        let Some(request) = &session.request else {
+            return String::new();
+        };
+        let state = &self.groups[request.group.0];
+        let version = self.catalog.as_ref().map_or(0, |catalog| catalog.version);
+        let complete = session.evidence_from().unwrap_or(now);
+        let required = state.required_position(complete, session.position);
+        let mut text = format!(
+            "catalog={version} group={} term={} suspicion={:?} needs_primary={} required={}",
+            state.name,
+            state.term,
+            state.suspicion,
+            session.needs_primary(),
+            required.map_or("unproved".to_string(), |position| position.to_string())
+        );
+        for (i, lane) in state.targets() {
+            let role = if state.primary == Some(i) {
+                "primary"
+            } else {
+                "replica"
+            };
+            let report = lane.report.map_or("none".to_string(), |(at, report)| {
+                format!("{}@{}ms", report.received, now.since(at).as_millis())
+            });
+            let lag = state.tracker.lag(i, now);
+            text.push_str(&format!(
+                " target={}:{role}:in_use={}/{}:opening={}:lag_ms={}:report={report}",
+                lane.entry.target,
+                lane.in_use(),
+                lane.connections.len(),
+                lane.opening(),
+                lag.map_or("unknown".to_string(), |lag| lag
+                    .bound()
+                    .as_millis()
+                    .to_string())
+            ));
+        }
+        text
+    }
+
     /// Refuses queued requests whose time is up, and ends those that targets do not answer.
     pub(crate) fn expire_requests(&mut self, now: MonoTime) {
         self.expire_transactions(now);
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -138,7 +138,7 @@
 
     /// Whether one more connection to a target beyond the share leaves room for others' shares.
     pub fn has_surplus(&self, target: TargetIndex, instances: usize, now: MonoTime) -> bool {
-        let Some(lane) = self.lane(target) else {
+        let Some(lane) = self.lane(target).filter(|lane| now >= lane.surplus_after) else {
             return false;
         };
         let limit = self.rule.as_ref().map_or(DEFAULT_MAX_CONNECTIONS, |rule| {
@@ -320,7 +320,7 @@
 
 /// One part in so many of the connections of a target is not borrowed, so that instances that start
 /// find room.
-const RESERVED_DIVISOR: usize = 8;
+const RESERVED_DIVISOR: usize = 4;
 
 /// Connections beyond the share that are tried without a recent count of the target's connections.
 const UNCOUNTED_SURPLUS: usize = 2;
--- a/crates/gateway/src/lane.rs
+++ b/crates/gateway/src/lane.rs
@@ -193,6 +193,8 @@
     pub statement_time: SmoothedTime,
     /// No new connection before this time.
     pub open_after: MonoTime,
+    /// No connection beyond the share before this time.
+    pub surplus_after: MonoTime,
     /// Attempts that failed in a row.
     pub open_failures: u32,
     /// No statements before this time, since it was busy or lagging.
@@ -205,8 +207,8 @@
     pub paused_since: Option<MonoTime>,
     /// When it was last asked to step down from an old term.
     pub step_down_at: Option<(MonoTime, TermNumber)>,
-    /// Since when it has not answered although it was asked.
-    pub silent_since: Option<MonoTime>,
+    /// When it last answered a call.
+    pub answered_at: Option<MonoTime>,
 }
 
 impl TargetLane {
@@ -219,13 +221,14 @@
             control: VecDeque::new(),
             statement_time: SmoothedTime::default(),
             open_after: MonoTime::ZERO,
+            surplus_after: MonoTime::ZERO,
             open_failures: 0,
             rest_until: MonoTime::ZERO,
             must_confirm: true,
             report: None,
             paused_since: None,
             step_down_at: None,
-            silent_since: None,
+            answered_at: None,
         }
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -89,6 +89,7 @@
     fn finish_start(&mut self, place: ConnectionPlace, answer: &TargetAnswer, now: MonoTime) {
         let id = place.connection;
         let backoff = self.settings.limit_backoff;
+        let surplus_pause = self.settings.surplus_pause;
         let Some(lane) = self.groups[place.group.0].lane_mut(place.target) else {
             return;
         };
@@ -98,6 +99,7 @@
                 lane.entry.group, lane.entry.target
             );
             lane.open_after = now + backoff;
+            lane.surplus_after = now + surplus_pause;
             if *code == TargetCode::WrongTarget {
                 lane.open_failures += 1;
             }
@@ -182,6 +184,7 @@
             return;
         }
         let is_synchronous = self.groups[place.group.0].is_synchronous();
+        self.note_commit(client, sent_at);
         let Some(session) = self.client_mut(client) else {
             return;
         };
@@ -217,6 +220,27 @@
         self.deliver(client, answer, now);
     }
 
+    /// Takes an acknowledged commit as evidence that the primary led when it was sent: a replica took
+    /// its record after that, so no promotion had paused all replicas before.
+    fn note_commit(&mut self, client: ClientId, sent_at: MonoTime) {
+        let Some(session) = self.client(client) else {
+            return;
+        };
+        let Some(request) = session.request.as_ref().filter(|r| r.is_at_primary) else {
+            return;
+        };
+        let is_commit = match (request.kind, session.open_transaction()) {
+            (RequestKind::Write, None) => true,
+            (RequestKind::Commit, Some(open)) => open.has_written,
+            _ => false,
+        };
+        let (group, term) = (request.group, request.term);
+        let state = &mut self.groups[group.0];
+        if is_commit && state.is_synchronous() && state.term == term {
+            state.observe_lead(sent_at);
+        }
+    }
+
     /// Whether the primary that the client's request was sent to is known to have led at `needs`.
     fn is_proved(&self, client: ClientId, needs: MonoTime) -> bool {
         let Some(request) = self.client(client).and_then(|s| s.request.as_ref()) else {
@@ -708,7 +732,7 @@
     ) {
         let state = &mut self.groups[place.group.0];
         if let Some(lane) = state.lane_mut(place.target) {
-            lane.silent_since = None;
+            lane.answered_at = Some(now);
         }
         let is_primary = state.primary == Some(place.target);
         if is_primary {
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -133,6 +133,8 @@
     pub id: ClientId,
     /// Database that it asked for; none before that.
     pub database: Option<String>,
+    /// Database that it asked for before there was a configuration, and when.
+    pub waiting_start: Option<(String, MonoTime)>,
     /// Values, sorted by name.
     pub values: Vec<(String, String)>,
     /// Prepared statements, sorted by name.
@@ -152,6 +154,7 @@
         Self {
             id,
             database: None,
+            waiting_start: None,
             values: Vec::new(),
             prepared: Vec::new(),
             position: None,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -37,9 +37,11 @@
     pub policy: RoutePolicy,
     /// Suspicion of primaries.
     pub monitor: MonitorSettings,
-    /// Time between two observations of a group that is in use. Below the shortest staleness bound by
-    /// a factor of three or more, so that lagging replicas stay usable.
+    /// Time between two observations of a group that is in use. Less than half of the staleness bounds
+    /// in use, 1.5 s and more, so that replicas that lag by as much as the rest stay usable.
     pub observe_interval: Duration,
+    /// Time without an answer after which a replica is asked for its position while reads wait.
+    pub probe_interval: Duration,
     /// Time after which a status call counts as unanswered; several times the round trip between
     /// regions and a full queue of one slot.
     pub status_timeout: Duration,
@@ -51,6 +53,11 @@
     pub surplus_idle: Duration,
     /// Time without new connections to a target after it reported its limit.
     pub limit_backoff: Duration,
+    /// Time without connections beyond the share after a target reported its limit, and after the start
+    /// of the instance: connections of dead instances linger for 3 s.
+    pub surplus_pause: Duration,
+    /// How long a client's session waits for the first configuration; clients give up after 2 s.
+    pub start_patience: Duration,
     /// Part of a statement's time limit that it may wait for a connection.
     pub queue_fraction: f64,
     /// Time before a statement is offered again after a target was busy or did not lead.
@@ -88,12 +95,15 @@
         Self {
             policy: RoutePolicy::default(),
             monitor: MonitorSettings::default(),
-            observe_interval: Duration::from_millis(400),
+            observe_interval: Duration::from_millis(650),
+            probe_interval: Duration::from_millis(300),
             status_timeout: Duration::from_millis(400),
             connect_timeout: Duration::from_millis(600),
             max_opening: 2,
             surplus_idle: Duration::from_millis(1_000),
-            limit_backoff: Duration::from_millis(500),
+            limit_backoff: Duration::from_millis(300),
+            surplus_pause: Duration::from_millis(3_500),
+            start_patience: Duration::from_millis(1_500),
             queue_fraction: 0.6,
             busy_backoff: Duration::from_millis(20),
             lag_backoff: Duration::from_millis(120),
