Refuse at once where isolated; replace primaries cut off from replicas

A primary that is cut off from its replicas answered status calls, so its hanging commits never led to a promotion. A survey waited 400 ms twice for a silent target.

Change: no evidence for 1 s refuses at once; a primary ahead of all replicas for 0.9 s is replaced; a silent target is waited for 60 ms; a target that refused a connection lately is not taken for dead.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -92,7 +92,7 @@
                 }
                 Placement::Wait => waiting.push(client),
                 Placement::Refuse(reason) => {
-                    let text = "the statement cannot be run before its time limit";
+                    let text = "the statement cannot be run here in time; retry after 50 ms";
                     self.refuse_request(client, ClientCode::Busy, reason, text, now);
                 }
             }
@@ -198,6 +198,10 @@
         if now < request.not_before {
             return Placement::Wait;
         }
+        let is_isolated = state.is_isolated(self.settings.isolation_limit, now);
+        if is_isolated && session.needs_primary() {
+            return Placement::Refuse(RefusalReason::Unreachable);
+        }
         let primary = usable_primary(state, now, self.settings.leaving_limit);
         if let Some(target) = primary.filter(|_| session.needs_primary()) {
             return Placement::Target(target);
@@ -233,6 +237,9 @@
                 reason: RefusalReason::DeadlinePassed,
                 ..
             } => Placement::Refuse(RefusalReason::DeadlinePassed),
+            RouteChoice::Refuse { .. } if is_isolated && required.is_none() => {
+                Placement::Refuse(RefusalReason::Unreachable)
+            }
             RouteChoice::Refuse { .. } => Placement::Wait,
         }
     }
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -53,6 +53,10 @@
     pub check: Option<(TargetIndex, MonoTime)>,
     /// Latest time that evidence is wanted for.
     pub check_wanted: Option<MonoTime>,
+    /// Since when evidence has been wanted and not come.
+    pub unproved_since: Option<MonoTime>,
+    /// Primary's position when it was first seen ahead of all replicas, and when that was.
+    pub ahead_since: Option<(GroupPosition, MonoTime)>,
     /// When the primary was last asked for its status.
     pub sampled_at: MonoTime,
     /// When a client last used the group.
@@ -83,6 +87,8 @@
             held: Vec::new(),
             check: None,
             check_wanted: None,
+            unproved_since: None,
+            ahead_since: None,
             sampled_at: MonoTime::ZERO,
             used_at: MonoTime::ZERO,
             led_at: None,
@@ -258,6 +264,49 @@
         self.tracker = FreshnessTracker::default();
         self.led_at = None;
         self.check = None;
+        self.ahead_since = None;
+        self.unproved_since = None;
+    }
+
+    /// Whether this instance sees too little of the group to serve from its primary, for so long that
+    /// it is more likely cut off than waiting for a promotion. Another instance may see more.
+    pub fn is_isolated(&self, limit: Duration, now: MonoTime) -> bool {
+        if self.primary.is_some() {
+            return self
+                .unproved_since
+                .is_some_and(|since| now.since(since) >= limit);
+        }
+        let is_long = self
+            .leaderless_since
+            .is_some_and(|since| now.since(since) >= limit);
+        let answering = self
+            .targets()
+            .filter(|(_, lane)| lane.answered_at.is_some_and(|at| now.since(at) < limit))
+            .count();
+        is_long && answering < self.copies_quorum(now)
+    }
+
+    /// Records whether the primary's log is ahead of all replicas: a commit in it that none of them
+    /// receives is a sign that the primary is cut off from them.
+    pub fn compare_logs(&mut self, now: MonoTime) {
+        let primary = self.primary;
+        let report = |index: TargetIndex| self.lane(index).and_then(|lane| lane.report);
+        let Some((_, leading)) = primary.and_then(report) else {
+            self.ahead_since = None;
+            return;
+        };
+        let replicas = self
+            .targets()
+            .filter(|(i, _)| Some(*i) != primary)
+            .filter_map(|(_, lane)| lane.report)
+            .map(|(_, report)| report.received)
+            .max();
+        self.ahead_since = match (self.ahead_since, replicas) {
+            (_, None) => None,
+            (Some((end, since)), Some(received)) if received < end => Some((end, since)),
+            (_, Some(received)) if received < leading.received => Some((leading.received, now)),
+            _ => None,
+        };
     }
 
     /// Asks for evidence that the primary led at `time` or later.
@@ -268,6 +317,7 @@
     /// Records that the known primary led when a replica was asked at `asked_at`.
     pub fn observe_lead(&mut self, asked_at: MonoTime) {
         self.led_at = self.led_at.max(Some(asked_at));
+        self.unproved_since = None;
         self.tracker.observe_term_check(asked_at, self.term);
     }
 
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -160,6 +160,7 @@
             }
         }
         self.groups[group.0].observe_quorum(now);
+        self.groups[group.0].compare_logs(now);
         self.release_held(group, now);
     }
 
@@ -199,8 +200,10 @@
         };
         if state.led_at.is_some_and(|led_at| led_at >= wanted) {
             state.check_wanted = None;
+            state.unproved_since = None;
             return;
         }
+        state.unproved_since.get_or_insert(now);
         if state.primary.is_none() {
             return;
         }
@@ -259,6 +262,10 @@
             self.find_primary(group, now);
             return;
         };
+        if state.ahead_since.is_some() {
+            self.confirm_ahead(group, now);
+        }
+        let state = &mut self.groups[group.0];
         let report_age = state
             .lane(primary)
             .and_then(|lane| lane.report)
@@ -282,6 +289,24 @@
         }
     }
 
+    /// Asks the replicas again whether they have received what the primary has.
+    fn confirm_ahead(&mut self, group: GroupIndex, now: MonoTime) {
+        let interval = self.settings.probe_interval;
+        let state = &mut self.groups[group.0];
+        let primary = state.primary;
+        let due = state
+            .targets()
+            .filter(|(i, lane)| {
+                let is_old = lane.report.is_none_or(|(at, _)| now.since(at) >= interval);
+                Some(*i) != primary && is_old
+            })
+            .map(|(i, _)| i)
+            .collect::<Vec<_>>();
+        for target in due {
+            state.control(target, ControlPurpose::Observe, TargetCall::Status, now);
+        }
+    }
+
     /// Asks all targets for their status until one is known to lead.
     fn find_primary(&mut self, group: GroupIndex, now: MonoTime) {
         let state = &mut self.groups[group.0];
--- a/crates/gateway/src/promotion.rs
+++ b/crates/gateway/src/promotion.rs
@@ -37,6 +37,8 @@
 pub(crate) enum PromotionCause {
     /// The primary does not answer.
     Suspected,
+    /// The primary is cut off from its replicas.
+    CutOff,
     /// The primary is leaving.
     Leaving,
     /// No target leads.
@@ -196,6 +198,11 @@
         {
             return (now.since(since) >= delay * 3).then_some(PromotionCause::Leaving);
         }
+        if let Some((_, since)) = state.ahead_since
+            && now.since(since) >= self.settings.ahead_limit + delay
+        {
+            return Some(PromotionCause::CutOff);
+        }
         let is_settled = self
             .listed_since
             .is_some_and(|since| now.since(since) >= SETTLE_TIME);
@@ -364,7 +371,16 @@
             return;
         };
         let spent = now.since(run.step_at);
-        let is_over = run.is_answered() || spent >= limit;
+        let state = &self.groups[group.0];
+        let is_only_silent_missing = run.replies.iter().all(|(target, reply)| {
+            let answered_at = state.lane(*target).and_then(|lane| lane.answered_at);
+            *reply != TargetReply::Waiting
+                || answered_at.is_none_or(|at| now.since(at) >= ABSENCE_LIMIT)
+        });
+        let is_enough = run.reports().count() >= state.copies_quorum(now);
+        let is_over = run.is_answered()
+            || spent >= limit
+            || (is_only_silent_missing && is_enough && spent >= ABSENT_PATIENCE);
         match run.step {
             PromotionStep::Duty if spent >= limit * 4 => {
                 self.duty = DutyState::None;
@@ -404,12 +420,21 @@
             run.old_term = newest;
         }
         let Some((leader, _)) = leader else {
-            self.acquire_duty(group, PromotionPlan::Replace, now);
+            if self.has_live_absentee(group, now) {
+                self.end_promotion(group, "a_silent_target_is_alive", now);
+            } else {
+                self.acquire_duty(group, PromotionPlan::Replace, now);
+            }
             return;
         };
         let state = &self.groups[group.0];
+        let is_cut_off = state
+            .promotion
+            .as_ref()
+            .is_some_and(|run| run.cause == PromotionCause::CutOff)
+            && state.ahead_since.is_some();
         let is_leaving = state.lane(leader).is_some_and(|lane| lane.is_leaving());
-        if is_leaving && self.has_successor(group, leader) {
+        if is_cut_off || (is_leaving && self.has_successor(group, leader)) {
             self.acquire_duty(group, PromotionPlan::Change(leader), now);
         } else if is_leaving {
             self.end_promotion(group, "no_successor", now);
@@ -420,6 +445,20 @@
         }
     }
 
+    /// Whether a target that does not answer the survey has answered anything lately, such as a refusal
+    /// for its limit of connections: then it is not dead, and may lead.
+    fn has_live_absentee(&self, group: GroupIndex, now: MonoTime) -> bool {
+        let state = &self.groups[group.0];
+        let Some(run) = &state.promotion else {
+            return false;
+        };
+        run.replies.iter().any(|(target, reply)| {
+            let is_absent = !matches!(reply, TargetReply::Report(_));
+            let answered_at = state.lane(*target).and_then(|lane| lane.answered_at);
+            is_absent && answered_at.is_some_and(|at| now.since(at) < ABSENCE_LIMIT)
+        })
+    }
+
     /// Whether a target beside the leaving primary answers, stays and is nearly caught up.
     fn has_successor(&self, group: GroupIndex, primary: TargetIndex) -> bool {
         let state = &self.groups[group.0];
@@ -522,7 +561,12 @@
             self.end_promotion(group, "targets_missing", now);
             return;
         }
-        let end = run.stepped_down.map(|(_, end)| end);
+        // With all replicas paused, what only the old primary has was never acknowledged.
+        let is_complete = missing == 0 && state.is_synchronous();
+        let end = run
+            .stepped_down
+            .map(|(_, end)| end)
+            .filter(|_| !is_complete);
         let longest = fenced.iter().map(|(_, report)| report.received).max();
         let Some(longest) = longest.filter(|longest| end.is_none_or(|end| *longest >= end)) else {
             self.end_promotion(group, "successor_behind", now);
@@ -707,6 +751,13 @@
     }
 }
 
+/// Time without any answer after which a target that does not answer a survey counts as dead.
+const ABSENCE_LIMIT: Duration = Duration::from_millis(600);
+
+/// Time that a survey waits for a target that has not answered for longer than that, once all others
+/// have answered.
+const ABSENT_PATIENCE: Duration = Duration::from_millis(60);
+
 /// Lag of a replica up to which it can succeed a leaving primary.
 const SUCCESSOR_LAG: Duration = Duration::from_millis(1_500);
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -76,6 +76,12 @@
     pub missing_grace: Duration,
     /// How long a primary that is leaving still takes statements while its successor is made ready.
     pub leaving_limit: Duration,
+    /// Time without evidence of leadership, or without answers of enough targets, after which statements
+    /// are refused at once: clients try again at another instance, which may see more.
+    pub isolation_limit: Duration,
+    /// Time for which the primary's log has to be ahead of all replicas before it counts as cut off
+    /// from them; several times the usual delay of replication.
+    pub ahead_limit: Duration,
     /// Time without a primary after which a promotion is considered.
     pub leaderless_limit: Duration,
     /// Time limit of one step of a promotion.
@@ -112,6 +118,8 @@
             max_prepared: 64,
             missing_grace: Duration::from_millis(2_500),
             leaving_limit: Duration::from_secs(4),
+            isolation_limit: Duration::from_millis(1_000),
+            ahead_limit: Duration::from_millis(900),
             leaderless_limit: Duration::from_millis(1_000),
             promotion_step: Duration::from_millis(500),
             promotion_effect: Duration::from_millis(2_500),
