Give up lost answers early; refuse writes while no duty is granted

Change: repeatable statements are placed again after 8 times the usual time, 250 ms at least; a check without evidence waits and goes to another replica; a duty that the store does not grant refuses writes at once.

--- a/crates/gateway/src/action.rs
+++ b/crates/gateway/src/action.rs
@@ -35,6 +35,15 @@
     pub valid_until: MonoTime,
 }
 
+/// Why the duty was not granted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DutyRefusal {
+    /// Another instance holds it.
+    Taken,
+    /// The store does not answer.
+    Unavailable,
+}
+
 /// Reply to an ordered promotion.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderReply {
@@ -102,9 +111,8 @@
     TargetsRead(Vec<TargetEntry>),
     /// Number of live instances, this one included.
     InstancesCounted(usize),
-    /// Answer to [`GatewayAction::AcquireDuty`]; none if another instance holds the duty or the store
-    /// is not reachable.
-    DutyAnswered(Option<DutyToken>),
+    /// Answer to [`GatewayAction::AcquireDuty`].
+    DutyAnswered(Result<DutyToken, DutyRefusal>),
     /// Answer to [`GatewayAction::OrderPromotion`].
     PromotionOrdered {
         /// Group that it was for.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -69,6 +69,8 @@
     pub(crate) next_connection: u64,
     pub(crate) instances: usize,
     pub(crate) duty: DutyState,
+    /// When the duty was last asked for and the store did not answer.
+    pub(crate) duty_unavailable_at: Option<MonoTime>,
     /// Since when the list of targets has been read without a gap.
     pub(crate) listed_since: Option<MonoTime>,
     pub(crate) is_stopping: bool,
@@ -96,6 +98,7 @@
             next_connection: 0,
             instances: 1,
             duty: DutyState::None,
+            duty_unavailable_at: None,
             listed_since: None,
             is_stopping: false,
             actions: Vec::new(),
@@ -147,7 +150,7 @@
             GatewayEvent::TargetUnlisted(target) => self.unlist_target(&target, now),
             GatewayEvent::TargetsRead(entries) => self.replace_targets(entries, now),
             GatewayEvent::InstancesCounted(count) => self.instances = count.max(1),
-            GatewayEvent::DutyAnswered(token) => self.take_duty(token, now),
+            GatewayEvent::DutyAnswered(answer) => self.take_duty(answer, now),
             GatewayEvent::PromotionOrdered { group, reply } => {
                 self.take_order_reply(&group, reply, now);
             }
@@ -169,6 +172,7 @@
             !group.queue.is_empty()
                 || !group.held.is_empty()
                 || group.promotion.is_some()
+                || group.targets().any(|(_, lane)| lane.in_use() > 0)
                 || group.primary.is_none()
         });
         now + if is_busy { BUSY_TICK } else { IDLE_TICK }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -207,7 +207,11 @@
             return Placement::Target(target);
         }
         if session.is_writing() {
-            return Placement::Wait;
+            return if self.is_hopeless(state, now) {
+                Placement::Refuse(RefusalReason::NoPrimary)
+            } else {
+                Placement::Wait
+            };
         }
         // Without a primary, a read of the present state can run at a replica that has every commit
         // that any target held after the read began.
@@ -244,6 +248,19 @@
         }
     }
 
+    /// Whether a group without a primary gets none soon, as the store does not grant the duty.
+    fn is_hopeless(&self, state: &DatabaseGroup, now: MonoTime) -> bool {
+        let limit = self.settings.leaderless_limit;
+        let is_long = state
+            .leaderless_since
+            .or(state.suspicion.suspected_since())
+            .is_some_and(|since| now.since(since) >= limit);
+        let is_refused = self
+            .duty_unavailable_at
+            .is_some_and(|at| now.since(at) < limit + self.settings.promotion_backoff);
+        is_long && is_refused
+    }
+
     fn view(
         &self,
         state: &DatabaseGroup,
@@ -578,6 +595,55 @@
         for client in due {
             self.expire_request(client, now);
         }
+        self.expire_answers(now);
+    }
+
+    /// Gives up answers that were probably lost: the target is slow beyond what is usual for it, and
+    /// the statement can run again since it only reads or its transaction is rolled back.
+    fn expire_answers(&mut self, now: MonoTime) {
+        let late = self
+            .clients
+            .iter()
+            .filter_map(|session| Some((session.id, self.late_connection(session, now)?)))
+            .collect::<Vec<_>>();
+        for (client, connection) in late {
+            if self.may_log(now) {
+                info!("answer_given_up client={client} connection={connection}");
+            }
+            let Some(place) = self.place(connection) else {
+                continue;
+            };
+            let rest = self.settings.status_timeout;
+            let sent_at = self
+                .client(client)
+                .and_then(|s| Some(s.request.as_ref()?.sent_at));
+            if let Some(lane) = self.groups[place.group.0].lane_mut(place.target)
+                && lane.answered_at < sent_at
+            {
+                // Nothing at all has come from the target since: others are tried first.
+                lane.rest_until = now + rest;
+            }
+            self.close_connection(connection);
+            self.end_unanswered(client, false, now);
+        }
+    }
+
+    /// The connection on which the answer to a repeatable statement is overdue.
+    fn late_connection(&self, session: &ClientSession, now: MonoTime) -> Option<ConnectionId> {
+        let request = session.request.as_ref()?;
+        let RequestStage::Sent(connection) = request.stage else {
+            return None;
+        };
+        let is_repeatable = match request.kind {
+            RequestKind::Read => true,
+            RequestKind::Write => session.open_transaction().is_some(),
+            RequestKind::Commit => false,
+        };
+        let place = self.place(connection).filter(|_| is_repeatable)?;
+        let lane = self.groups[place.group.0].lane(place.target)?;
+        let usual = lane.statement_time.value(now) * self.settings.answer_wait_factor;
+        let limit = usual.max(self.settings.min_answer_wait);
+        (now.since(request.sent_at) >= limit).then_some(connection)
     }
 
     fn is_due(&self, session: &ClientSession, now: MonoTime) -> bool {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod statistics;
 
 pub use action::ConnectError;
+pub use action::DutyRefusal;
 pub use action::DutyToken;
 pub use action::GatewayAction;
 pub use action::GatewayEvent;
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -100,9 +100,6 @@
         let monitor = self.settings.monitor.clone();
         let state = &mut self.groups[group.0];
         let known_term = state.term;
-        if state.check.is_some_and(|(checked, _)| checked == target) {
-            state.check = None;
-        }
         if report.term > state.term {
             info!(
                 "term_seen group={} term={} previous={known_term} from={}",
@@ -130,6 +127,7 @@
                 state.term_base.get_or_insert(position);
                 state.sampled_at = state.sampled_at.max(sent_at);
                 if state.targets().count() == 1 {
+                    state.check = None;
                     state.observe_lead(sent_at);
                 }
             }
@@ -145,6 +143,11 @@
                 }
                 if is_current && report.paused_for.is_none() && state.primary.is_some() {
                     state.observe_lead(sent_at);
+                    // A report without evidence leaves the check under way, so that the next one waits
+                    // and goes to another replica.
+                    if state.check.is_some_and(|(checked, _)| checked == target) {
+                        state.check = None;
+                    }
                 }
             }
         }
--- a/crates/gateway/src/promotion.rs
+++ b/crates/gateway/src/promotion.rs
@@ -20,6 +20,7 @@
 use heatherhollow_types::TermNumber;
 use heatherhollow_types::stable_hash;
 
+use crate::action::DutyRefusal;
 use crate::action::DutyToken;
 use crate::action::GatewayAction;
 use crate::action::OrderReply;
@@ -279,21 +280,22 @@
     }
 
     /// The duty was granted or not.
-    pub(crate) fn take_duty(&mut self, token: Option<DutyToken>, now: MonoTime) {
-        self.duty = match token {
-            Some(token) => DutyState::Held(token),
-            None => DutyState::None,
+    pub(crate) fn take_duty(&mut self, answer: Result<DutyToken, DutyRefusal>, now: MonoTime) {
+        info!("duty_answered answer={answer:?}");
+        self.duty = match answer {
+            Ok(token) => DutyState::Held(token),
+            Err(_) => DutyState::None,
+        };
+        self.duty_unavailable_at = match answer {
+            Err(DutyRefusal::Unavailable) => Some(now),
+            _ => None,
         };
-        info!(
-            "duty_answered token={}",
-            token.map_or("none".to_string(), |token| token.number.to_string())
-        );
         for i in 0..self.groups.len() {
             let waits = self.groups[i]
                 .promotion
                 .as_ref()
                 .is_some_and(|run| run.step == PromotionStep::Duty);
-            if waits && token.is_some() {
+            if waits && answer.is_ok() {
                 self.carry_out(GroupIndex(i), now);
             } else if waits {
                 self.end_promotion(GroupIndex(i), "duty_not_granted", now);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -58,6 +58,10 @@
     pub surplus_pause: Duration,
     /// How long a client's session waits for the first configuration; clients give up after 2 s.
     pub start_patience: Duration,
+    /// Least time after which an answer to a statement that may run again counts as lost.
+    pub min_answer_wait: Duration,
+    /// Such an answer counts as lost after so many times the usual time of a statement at its target.
+    pub answer_wait_factor: u32,
     /// Part of a statement's time limit that it may wait for a connection.
     pub queue_fraction: f64,
     /// Time before a statement is offered again after a target was busy or did not lead.
@@ -110,6 +114,8 @@
             limit_backoff: Duration::from_millis(300),
             surplus_pause: Duration::from_millis(3_500),
             start_patience: Duration::from_millis(1_500),
+            min_answer_wait: Duration::from_millis(250),
+            answer_wait_factor: 8,
             queue_fraction: 0.6,
             busy_backoff: Duration::from_millis(20),
             lag_backoff: Duration::from_millis(120),
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -22,6 +22,7 @@
 use heatherhollow_gateway::ClientQuery;
 use heatherhollow_gateway::ConnectError;
 use heatherhollow_gateway::ConnectionId;
+use heatherhollow_gateway::DutyRefusal;
 use heatherhollow_gateway::DutyToken;
 use heatherhollow_gateway::GatewayAction;
 use heatherhollow_gateway::GatewayEvent;
@@ -551,7 +552,8 @@
                         valid_until: self.now + Duration::from_millis(2_300),
                     }
                 });
-                self.tell(instance, GatewayEvent::DutyAnswered(token), 12);
+                let answer = token.ok_or(DutyRefusal::Taken);
+                self.tell(instance, GatewayEvent::DutyAnswered(answer), 12);
             }
             GatewayAction::ReleaseDuty => {
                 if self.duty.is_some_and(|(holder, _, _)| holder == instance) {
@@ -1030,7 +1032,7 @@
                 )),
                 1 => {
                     let shape = PreparedShape {
-                        is_write: n % 2 == 0,
+                        is_write: n.is_multiple_of(2),
                         text: format!("q{}", n % 3),
                     };
                     let name = "s1".to_string();
@@ -1048,7 +1050,7 @@
                     if !is_read_only {
                         plan.push((id(2), Statement::Write));
                     }
-                    let end = if n % 7 == 0 {
+                    let end = if n.is_multiple_of(7) {
                         Statement::Rollback
                     } else {
                         Statement::Commit
--- a/crates/gateway/tests/support/target.rs
+++ b/crates/gateway/tests/support/target.rs
@@ -90,9 +90,9 @@
         if length == 0 {
             return true;
         }
-        // A position of an earlier term is contained if the record there is of that term.
-        length <= self.applied && self.log[length - 1].term == position.term.0
-            || self.position(self.applied).term > position.term && length <= self.applied
+        // A position of an earlier term counts as contained in a longer log of a later one.
+        let is_later = self.position(self.applied).term > position.term;
+        length <= self.applied && (is_later || self.log[length - 1].term == position.term.0)
     }
 
     /// Applies records that were received long enough ago.
--- a/crates/runner/src/duty.rs
+++ b/crates/runner/src/duty.rs
@@ -9,6 +9,7 @@
 
 use log::info;
 
+use heatherhollow_gateway::DutyRefusal;
 use heatherhollow_gateway::DutyToken;
 use heatherhollow_gateway::OrderReply;
 use heatherhollow_ports::LeaseId;
@@ -45,24 +46,21 @@
         }
     }
 
-    /// Tries to acquire the duty; none if another instance holds it or the store does not answer.
-    pub async fn acquire(&self) -> Option<DutyToken> {
+    /// Tries to acquire the duty.
+    pub async fn acquire(&self) -> Result<DutyToken, DutyRefusal> {
         let asked_at = clock::now();
         match self.try_acquire().await {
             Ok(Some((lease, number))) => {
                 *self.lease.lock().await = Some(lease);
-                Some(DutyToken {
+                Ok(DutyToken {
                     number,
                     valid_until: asked_at + (self.lease_span - VALIDITY_MARGIN),
                 })
             }
-            Ok(None) => {
-                info!("duty_taken holder=other");
-                None
-            }
+            Ok(None) => Err(DutyRefusal::Taken),
             Err(error) => {
                 info!("duty_unavailable error={:?}", error.to_string());
-                None
+                Err(DutyRefusal::Unavailable)
             }
         }
     }
--- a/crates/runner/src/run.rs
+++ b/crates/runner/src/run.rs
@@ -326,8 +326,8 @@
                 let duty = self.duty.clone();
                 let events = self.events.clone();
                 tokio::spawn(async move {
-                    let token = duty.acquire().await;
-                    report(&events, GatewayEvent::DutyAnswered(token));
+                    let answer = duty.acquire().await;
+                    report(&events, GatewayEvent::DutyAnswered(answer));
                 });
             }
             GatewayAction::ReleaseDuty => {
