--- a/crates/gateway/src/action.rs
+++ b/crates/gateway/src/action.rs
@@ -7,6 +7,9 @@
 
 use crate::catalog::Catalog;
 use crate::catalog::TargetEntry;
+use crate::forward::ForwardedQuery;
+use crate::forward::HomeMessage;
+use crate::homes::PeerEntry;
 use crate::lane::ConnectionId;
 use crate::message::ClientAnswer;
 use crate::message::ClientCode;
@@ -120,6 +123,30 @@
         /// The reply.
         reply: OrderReply,
     },
+    /// The live instances, this one included.
+    PeersRead(Vec<PeerEntry>),
+    /// A home answered a forwarded statement.
+    HomeAnswered {
+        /// The client.
+        client: ClientId,
+        /// The home.
+        home: String,
+        /// Its answer.
+        answer: ClientAnswer,
+    },
+    /// The link to a home was lost or could not be opened.
+    HomeLost(String),
+    /// A home is about to stop.
+    HomeLeaving(String),
+    /// Another instance forwarded a statement; `client` stands for its session there.
+    Forwarded {
+        /// The session.
+        client: ClientId,
+        /// The statement.
+        query: Box<ForwardedQuery>,
+    },
+    /// Another instance ended the transaction of a forwarded session.
+    ForwardedRollback(ClientId),
     /// A planned stop began.
     StopRequested,
     /// Time passed.
@@ -165,6 +192,17 @@
     },
     /// Close a connection; unsent data is dropped.
     CloseTarget(ConnectionId),
+    /// Send a message to the home of a group.
+    SendHome {
+        /// Name of the instance.
+        home: String,
+        /// Its address.
+        address: SocketAddr,
+        /// Client whose session it is about.
+        client: ClientId,
+        /// The message.
+        message: HomeMessage,
+    },
     /// Acquire the duty of ordering promotions; answered by [`GatewayEvent::DutyAnswered`].
     AcquireDuty,
     /// Give the duty back.
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -10,6 +10,7 @@
 use crate::action::GatewayAction;
 use crate::catalog::SessionRoute;
 use crate::core::SessionGateway;
+use crate::forward::HomeMessage;
 use crate::message::ClientAnswer;
 use crate::message::ClientCode;
 use crate::message::ClientId;
@@ -211,22 +212,16 @@
         };
         let group = self.group_index(&route.group, now);
         if let Some(session) = self.client_mut(id) {
-            session.transaction = SessionTransaction::Open(OpenTransaction {
-                is_read_only,
-                begun_at: now,
-                route,
-                group,
-                connection: None,
-                has_run: false,
-                has_written: false,
-                is_verified: false,
-                rests_since: now,
-            });
+            let open = OpenTransaction::new(is_read_only, route, group, now);
+            session.transaction = SessionTransaction::Open(open);
         }
         self.send_answer(id, Ok(None), None, Vec::new());
     }
 
     fn find_route(&self, id: ClientId) -> Option<SessionRoute> {
+        if let Some(route) = &self.client(id)?.forwarded_route {
+            return Some(route.clone());
+        }
         let database = self.client(id)?.database.as_deref()?;
         self.catalog.as_ref()?.route(database).cloned()
     }
@@ -250,20 +245,16 @@
         let open = self
             .client(id)
             .and_then(ClientSession::open_transaction)
-            .map(|open| {
-                (
-                    open.route.clone(),
-                    open.group,
-                    open.begun_at,
-                    open.connection,
-                )
-            });
-        let (route, group, fresh_from, connection) = match open {
-            Some(open) => open,
+            .cloned();
+        let (route, group, fresh_from, place) = match open {
+            Some(open) => {
+                let place = (open.connection, open.home);
+                (open.route, open.group, open.begun_at, place)
+            }
             None => match self.find_route(id) {
                 Some(route) => {
                     let group = self.group_index(&route.group, now);
-                    (route, group, now, None)
+                    (route, group, now, (None, None))
                 }
                 None => {
                     self.refuse_unknown(id);
@@ -271,7 +262,6 @@
                 }
             },
         };
-        self.groups[group.0].used_at = now;
         let term = self.groups[group.0].term;
         let Some(session) = self.client_mut(id) else {
             return;
@@ -292,9 +282,10 @@
             is_at_primary: false,
             stage: RequestStage::Queued,
         });
-        match connection {
-            Some(connection) => self.advance_lent(connection, now),
-            None => self.groups[group.0].queue.push(id),
+        match place {
+            (Some(connection), _) => self.advance_lent(connection, now),
+            (None, Some(home)) => self.forward(id, home, now),
+            (None, None) => self.place_anew(id, now),
         }
     }
 
@@ -304,11 +295,15 @@
             return;
         };
         let transaction = std::mem::take(&mut session.transaction);
-        if let SessionTransaction::Open(open) = transaction
-            && let Some(connection) = open.connection
-        {
+        let SessionTransaction::Open(open) = transaction else {
+            return;
+        };
+        if let Some(connection) = open.connection {
             self.roll_back(connection, now);
         }
+        if let Some(home) = open.home {
+            self.tell_home(id, &home, HomeMessage::Rollback);
+        }
     }
 
     /// The client left: nothing of it may go on to another client.
@@ -323,6 +318,9 @@
         }
         let pinned = session.open_transaction().and_then(|open| open.connection);
         let stage = session.request.map(|request| request.stage);
+        if let Some(home) = &session.last_home {
+            self.tell_home(id, home, HomeMessage::End);
+        }
         match (pinned, stage) {
             (Some(connection), None | Some(RequestStage::Held { .. })) => {
                 self.roll_back(connection, now);
@@ -373,7 +371,8 @@
             .filter(|session| session.request.is_none())
             .filter(|session| {
                 session.open_transaction().is_some_and(|open| {
-                    open.connection.is_some() && now.since(open.rests_since) > limit
+                    let is_placed = open.connection.is_some() || open.home.is_some();
+                    is_placed && now.since(open.rests_since) > limit
                 })
             })
             .map(|session| session.id)
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -19,6 +19,7 @@
 use crate::catalog::TargetState;
 use crate::group::DatabaseGroup;
 use crate::group::GroupIndex;
+use crate::homes::HomeTable;
 use crate::lane::ConnectionId;
 use crate::lane::ControlPurpose;
 use crate::lane::TargetConnection;
@@ -68,6 +69,9 @@
     pub(crate) places: Vec<ConnectionPlace>,
     pub(crate) next_connection: u64,
     pub(crate) instances: usize,
+    /// Data centres with live instances.
+    pub(crate) data_centres: usize,
+    pub(crate) homes: HomeTable,
     pub(crate) duty: DutyState,
     /// When the duty was last asked for and the store did not answer.
     pub(crate) duty_unavailable_at: Option<MonoTime>,
@@ -97,6 +101,8 @@
             places: Vec::new(),
             next_connection: 0,
             instances: 1,
+            data_centres: 1,
+            homes: HomeTable::default(),
             duty: DutyState::None,
             duty_unavailable_at: None,
             listed_since: None,
@@ -118,7 +124,10 @@
 
     /// Whether nothing of any client is under way.
     pub fn is_quiet(&self) -> bool {
-        self.clients.is_empty()
+        self.clients.iter().all(|session| {
+            let is_resting = session.request.is_none() && session.open_transaction().is_none();
+            session.is_forwarded && is_resting
+        })
     }
 
     /// Number of open client sessions.
@@ -149,11 +158,26 @@
             GatewayEvent::TargetListed(entry) => self.list_target(entry, now),
             GatewayEvent::TargetUnlisted(target) => self.unlist_target(&target, now),
             GatewayEvent::TargetsRead(entries) => self.replace_targets(entries, now),
-            GatewayEvent::InstancesCounted(count) => self.instances = count.max(1),
+            GatewayEvent::InstancesCounted(count) => {
+                self.instances = count.max(1);
+                self.choose_homes(now, true);
+            }
             GatewayEvent::DutyAnswered(answer) => self.take_duty(answer, now),
             GatewayEvent::PromotionOrdered { group, reply } => {
                 self.take_order_reply(&group, reply, now);
             }
+            GatewayEvent::PeersRead(peers) => self.replace_peers(peers, now),
+            GatewayEvent::HomeAnswered {
+                client,
+                home,
+                answer,
+            } => self.take_home_answer(client, &home, answer, now),
+            GatewayEvent::HomeLost(home) => self.lose_home(&home, now),
+            GatewayEvent::HomeLeaving(home) => self.leave_home(&home, now),
+            GatewayEvent::Forwarded { client, query } => {
+                self.take_forwarded(client, *query, now);
+            }
+            GatewayEvent::ForwardedRollback(client) => self.roll_back_forwarded(client, now),
             GatewayEvent::StopRequested => {
                 info!("stop_requested sessions={}", self.clients.len());
                 self.is_stopping = true;
@@ -173,7 +197,7 @@
                 || !group.held.is_empty()
                 || group.promotion.is_some()
                 || group.targets().any(|(_, lane)| lane.in_use() > 0)
-                || group.primary.is_none()
+                || (group.primary.is_none() && group.remote_home.is_none())
         });
         now + if is_busy { BUSY_TICK } else { IDLE_TICK }
     }
@@ -183,6 +207,7 @@
         let idle = self
             .clients
             .iter()
+            .filter(|session| !session.is_forwarded)
             .filter(|session| session.request.is_none() && session.inbox.is_empty())
             .filter(|session| includes_transactions || session.open_transaction().is_none())
             .map(|session| session.id)
@@ -197,7 +222,12 @@
         self.expire_starts(now);
         self.expire_requests(now);
         self.resend_delayed(now);
+        self.choose_homes(now, false);
         for i in 0..self.groups.len() {
+            if !self.is_observer(GroupIndex(i), now) {
+                self.rest_group(GroupIndex(i), now);
+                continue;
+            }
             self.observe_group(GroupIndex(i), now);
             self.tick_promotion(GroupIndex(i), now);
         }
@@ -218,6 +248,7 @@
         for rule in &catalog.groups {
             let group = self.group_index(&rule.group, now);
             self.groups[group.0].rule = Some(rule.clone());
+            self.choose_home(group, now);
         }
         self.catalog = Some(catalog);
         let waiting = self
@@ -238,7 +269,9 @@
         let monitor = self.settings.monitor.clone();
         let group = DatabaseGroup::new(name.to_string(), monitor, now);
         self.groups.push(group);
-        GroupIndex(self.groups.len() - 1)
+        let index = GroupIndex(self.groups.len() - 1);
+        self.choose_home(index, now);
+        index
     }
 
     fn list_target(&mut self, entry: TargetEntry, now: MonoTime) {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -21,6 +21,7 @@
 
 use crate::action::GatewayAction;
 use crate::core::SessionGateway;
+use crate::forward::HomeMessage;
 use crate::group::DatabaseGroup;
 use crate::group::GroupIndex;
 use crate::group::index_of;
@@ -53,6 +54,9 @@
 /// read asks for decides; this only keeps the router from leaving out all replicas.
 const MIN_ROUTE_AGE: Duration = Duration::from_secs(1);
 
+/// Part of the time limit after which the answer of a home counts as lost.
+const FORWARD_FRACTION: f64 = 1.25;
+
 /// Where a waiting statement goes.
 enum Placement {
     Target(TargetIndex),
@@ -141,7 +145,7 @@
         wanted: usize,
         now: MonoTime,
     ) {
-        let share = self.groups[group.0].share(self.instances);
+        let share = self.groups[group.0].share(self.holders(&self.groups[group.0]));
         loop {
             let state = &self.groups[group.0];
             let Some(lane) = state.lane(target) else {
@@ -150,7 +154,7 @@
             let opening = lane.opening();
             let is_enough = opening >= wanted.min(self.settings.max_opening);
             let has_room =
-                lane.connections.len() < share || state.has_surplus(target, self.instances, now);
+                lane.connections.len() < share || state.has_surplus(target, self.holders(state), now);
             if is_enough || !has_room || now < lane.open_after {
                 return;
             }
@@ -160,7 +164,7 @@
 
     /// Sends waiting control calls over idle connections.
     pub(crate) fn send_control(&mut self, group: GroupIndex, now: MonoTime) {
-        let share = self.groups[group.0].share(self.instances);
+        let share = self.groups[group.0].share(self.holders(&self.groups[group.0]));
         for i in 0..self.groups[group.0].lanes.len() {
             let target = index_of(i);
             while let Some(lane) = self.groups[group.0].lane_mut(target)
@@ -275,7 +279,7 @@
         let is_out = lane.is_unreachable() || now < lane.rest_until || is_unfit;
         let is_unusable_primary =
             is_primary && usable_primary(state, now, self.settings.leaving_limit).is_none();
-        let share = state.share(self.instances).max(lane.connections.len());
+        let share = state.share(self.holders(state)).max(lane.connections.len());
         let measured = lane.statement_time.value(now);
         TargetView {
             target,
@@ -467,12 +471,12 @@
         };
         if let Some(open) = session.open_transaction_mut() {
             open.connection = None;
+            open.home = None;
         }
         let Some(request) = &mut session.request else {
             return;
         };
         request.stage = RequestStage::Queued;
-        let group = request.group;
         if request.failures >= max_attempts || now >= request.deadline() {
             let text = "no target took the statement";
             self.refuse_request(
@@ -484,9 +488,7 @@
             );
             return;
         }
-        if !self.groups[group.0].queue.contains(&client) {
-            self.groups[group.0].queue.push(client);
-        }
+        self.place_anew(client, now);
     }
 
     /// Refuses a request of which nothing is kept, and ends its transaction.
@@ -520,6 +522,7 @@
         let group = request.group;
         let is_commit = request.kind == RequestKind::Commit;
         let pinned = session.open_transaction().and_then(|open| open.connection);
+        let home = session.open_transaction().and_then(|open| open.home.clone());
         if session.open_transaction().is_some() {
             session.transaction = if is_commit {
                 SessionTransaction::None
@@ -533,6 +536,9 @@
         if let Some(connection) = pinned {
             self.roll_back(connection, now);
         }
+        if let Some(home) = home {
+            self.tell_home(client, &home, HomeMessage::End);
+        }
         self.refuse_locally(client, code, text);
         self.advance_client(client, now);
     }
@@ -655,6 +661,8 @@
                 LEADERLESS_FRACTION
             }
             RequestStage::Queued => self.settings.queue_fraction,
+            // The home ends it in time; this is for an answer that does not come.
+            RequestStage::Forwarded(_) => FORWARD_FRACTION,
             _ => 1.0,
         };
         now >= request.received_at + request.route.timeout.mul_f64(fraction)
@@ -679,6 +687,10 @@
                 self.close_connection(connection);
                 self.end_unanswered(client, true, now);
             }
+            RequestStage::Forwarded(home) => {
+                self.tell_home(client, &home, HomeMessage::End);
+                self.end_unanswered(client, true, now);
+            }
             RequestStage::Held { .. } => {
                 self.end_unproved(client, now);
             }
--- /dev/null
+++ b/crates/gateway/src/forward.rs
@@ -0,0 +1,342 @@
+//! Statements forwarded to the home of their group, on both sides.
+//!
+//! The instance of the client keeps the session: its values, names, position and the state of its
+//! transaction. A forwarded statement brings what the home needs of them. A lost home is treated like
+//! a lost connection to a target: what may have run is in doubt, what cannot have taken effect is
+//! placed again or refused with a true promise.
+
+use std::time::Duration;
+
+use log::debug;
+use log::info;
+
+use heatherhollow_types::GroupPosition;
+use heatherhollow_types::MonoTime;
+
+use crate::action::GatewayAction;
+use crate::catalog::SessionRoute;
+use crate::core::SessionGateway;
+use crate::group::DatabaseGroup;
+use crate::group::GroupIndex;
+use crate::homes::PeerEntry;
+use crate::message::ClientAnswer;
+use crate::message::ClientCode;
+use crate::message::ClientId;
+use crate::message::ClientQuery;
+use crate::message::SessionState;
+use crate::session::ClientSession;
+use crate::session::OpenTransaction;
+use crate::session::RequestKind;
+use crate::session::RequestStage;
+use crate::session::SessionTransaction;
+use crate::statement::PreparedShape;
+
+/// A statement on its way to the home of its group.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ForwardedQuery {
+    /// The statement.
+    pub query: ClientQuery,
+    /// Route that the client's instance found for it.
+    pub route: SessionRoute,
+    /// Set if the statement is the first of a transaction: whether that only reads.
+    pub begins: Option<bool>,
+    /// Values of the session, sorted by name.
+    pub values: Vec<(String, String)>,
+    /// What the statement executes, if it executes a prepared one.
+    pub shape: Option<PreparedShape>,
+    /// Position of the session's last commit.
+    pub position: Option<GroupPosition>,
+    /// Whether a commit of the session may have taken effect unseen.
+    pub has_doubt: bool,
+}
+
+/// A message to the home of a group.
+#[derive(Debug, Clone, PartialEq)]
+pub enum HomeMessage {
+    /// A statement.
+    Query(Box<ForwardedQuery>),
+    /// The session's transaction is rolled back.
+    Rollback,
+    /// The session has ended, or goes to another home.
+    End,
+}
+
+/// Time after which the home of a group is chosen anew although no instance came or went: instances
+/// that were left out count again.
+const CHOICE_LIFETIME: Duration = Duration::from_millis(500);
+
+/// Time after its last statement here during which a group is still observed.
+const RECENT_USE: Duration = Duration::from_secs(5);
+
+impl SessionGateway {
+    pub(crate) fn replace_peers(&mut self, peers: Vec<PeerEntry>, now: MonoTime) {
+        let mut data_centres = peers.iter().map(|peer| &peer.data_centre).collect::<Vec<_>>();
+        data_centres.sort();
+        data_centres.dedup();
+        self.data_centres = data_centres.len().max(1);
+        let data_centre = self.identity.data_centre.clone();
+        self.homes.replace(peers, &data_centre);
+        self.choose_homes(now, true);
+    }
+
+    /// Chooses the home of a group.
+    pub(crate) fn choose_home(&mut self, group: GroupIndex, now: MonoTime) {
+        let state = &self.groups[group.0];
+        let home = if state.is_scarce(self.instances) {
+            self.homes
+                .home(&state.name, now)
+                .map(|home| home.instance.clone())
+                .filter(|home| *home != self.identity.name)
+        } else {
+            None
+        };
+        let state = &mut self.groups[group.0];
+        if state.remote_home != home {
+            debug!(
+                "home_chosen group={} home={}",
+                state.name,
+                home.as_deref().unwrap_or("self")
+            );
+        }
+        state.remote_home = home;
+        state.home_chosen_at = now;
+    }
+
+    /// Chooses the homes of all groups, or of those whose choice is old.
+    pub(crate) fn choose_homes(&mut self, now: MonoTime, is_changed: bool) {
+        for i in 0..self.groups.len() {
+            if is_changed || now.since(self.groups[i].home_chosen_at) >= CHOICE_LIFETIME {
+                self.choose_home(GroupIndex(i), now);
+            }
+        }
+    }
+
+    /// Number of instances that hold connections to the targets of a group.
+    pub(crate) fn holders(&self, state: &DatabaseGroup) -> usize {
+        if state.is_scarce(self.instances) {
+            self.data_centres.min(self.instances)
+        } else {
+            self.instances
+        }
+    }
+
+    /// Whether the instance observes a group: it is its home, or its clients use the group here.
+    pub(crate) fn is_observer(&self, group: GroupIndex, now: MonoTime) -> bool {
+        let is_used = now.since(self.groups[group.0].used_at) < RECENT_USE;
+        is_used || self.groups[group.0].remote_home.is_none()
+    }
+
+    /// Places the present request of a client: at the home of its group, or in the local queue.
+    pub(crate) fn place_anew(&mut self, client: ClientId, now: MonoTime) {
+        let Some(session) = self.client(client) else {
+            return;
+        };
+        let Some(request) = &session.request else {
+            return;
+        };
+        let group = request.group;
+        // Statements of other instances are never forwarded again.
+        let home = match session.is_forwarded {
+            true => None,
+            false => self.groups[group.0].remote_home.clone(),
+        };
+        match home {
+            Some(home) => self.forward(client, home, now),
+            None => {
+                self.groups[group.0].used_at = now;
+                if let Some(request) = self.client_mut(client).and_then(|s| s.request.as_mut()) {
+                    request.stage = RequestStage::Queued;
+                }
+                let queue = &mut self.groups[group.0].queue;
+                if !queue.contains(&client) {
+                    queue.push(client);
+                }
+            }
+        }
+    }
+
+    /// Sends the present request of a client to a home.
+    pub(crate) fn forward(&mut self, client: ClientId, home: String, now: MonoTime) {
+        let Some(address) = self.homes.address(&home) else {
+            self.lose_forwarded(client, now);
+            return;
+        };
+        let Some(session) = self.client_mut(client) else {
+            return;
+        };
+        let shape = session.requested_shape().cloned();
+        let begins = match &mut session.transaction {
+            SessionTransaction::Open(open) => {
+                let is_first = open.home.is_none();
+                open.home = Some(home.clone());
+                is_first.then_some(open.is_read_only)
+            }
+            _ => None,
+        };
+        let Some(request) = &mut session.request else {
+            return;
+        };
+        request.stage = RequestStage::Forwarded(home.clone());
+        request.sent_at = now;
+        request.attempts += 1;
+        let previous = session.last_home.replace(home.clone());
+        let query = ForwardedQuery {
+            query: request.query.clone(),
+            route: request.route.clone(),
+            begins,
+            shape,
+            values: session.values.clone(),
+            position: session.position,
+            has_doubt: session.has_doubt,
+        };
+        if let Some(previous) = previous.filter(|previous| *previous != home) {
+            self.tell_home(client, &previous, HomeMessage::End);
+        }
+        self.actions.push(GatewayAction::SendHome {
+            home,
+            address,
+            client,
+            message: HomeMessage::Query(Box::new(query)),
+        });
+    }
+
+    /// Tells a home that a session's transaction or its use of the home ended.
+    pub(crate) fn tell_home(&mut self, client: ClientId, home: &str, message: HomeMessage) {
+        if let Some(address) = self.homes.address(home) {
+            self.actions.push(GatewayAction::SendHome {
+                home: home.to_string(),
+                address,
+                client,
+                message,
+            });
+        }
+    }
+
+    /// A home answered a forwarded statement.
+    pub(crate) fn take_home_answer(
+        &mut self,
+        client: ClientId,
+        home: &str,
+        answer: ClientAnswer,
+        now: MonoTime,
+    ) {
+        let Some(session) = self.client_mut(client) else {
+            return;
+        };
+        let Some(request) = &session.request else {
+            return;
+        };
+        // An answer to a statement that was given up meanwhile is dropped.
+        if request.stage != RequestStage::Forwarded(home.to_string()) {
+            return;
+        }
+        let kind = request.kind;
+        let mut is_written = kind == RequestKind::Write;
+        match &mut session.transaction {
+            SessionTransaction::Open(open) => {
+                open.rests_since = now;
+                open.has_run |= answer.end.is_ok();
+                open.has_written |= answer.end.is_ok() && kind == RequestKind::Write;
+                is_written = kind == RequestKind::Commit && open.has_written;
+                match answer.state {
+                    SessionState::Transaction => {}
+                    SessionState::Failed => {
+                        session.transaction = SessionTransaction::Failed { is_told: true };
+                    }
+                    SessionState::Idle => session.transaction = SessionTransaction::None,
+                }
+            }
+            _ => debug_assert!(answer.state == SessionState::Idle),
+        }
+        session.request = None;
+        match &answer.end {
+            Ok(_) if is_written => {
+                session.position = session.position.max(answer.position);
+                session.has_doubt = false;
+            }
+            Err((ClientCode::InDoubt, _)) => session.has_doubt = true,
+            _ => {}
+        }
+        self.send_answer(client, answer.end, answer.position, answer.rows);
+        self.advance_client(client, now);
+    }
+
+    /// A home cannot be reached any more, or leaves.
+    pub(crate) fn lose_home(&mut self, home: &str, now: MonoTime) {
+        info!("home_lost instance={home}");
+        self.homes.avoid(home, now);
+        self.choose_homes(now, true);
+        let affected = self
+            .clients
+            .iter()
+            .filter(|session| {
+                let is_waiting = session.request.as_ref().is_some_and(|request| {
+                    request.stage == RequestStage::Forwarded(home.to_string())
+                });
+                let open = session.open_transaction();
+                is_waiting || open.is_some_and(|open| open.home.as_deref() == Some(home))
+            })
+            .map(|session| session.id)
+            .collect::<Vec<_>>();
+        for client in affected {
+            self.lose_forwarded(client, now);
+        }
+    }
+
+    /// A home leaves: new statements and transactions go elsewhere, those under way end there.
+    pub(crate) fn leave_home(&mut self, home: &str, now: MonoTime) {
+        info!("home_leaving instance={home}");
+        self.homes.avoid(home, now);
+        self.choose_homes(now, true);
+    }
+
+    /// Ends or places again what a client had at a home that is gone.
+    pub(crate) fn lose_forwarded(&mut self, client: ClientId, now: MonoTime) {
+        self.end_unanswered(client, false, now);
+    }
+
+    /// Takes a statement that another instance forwarded.
+    pub(crate) fn take_forwarded(
+        &mut self,
+        client: ClientId,
+        forwarded: ForwardedQuery,
+        now: MonoTime,
+    ) {
+        self.open_client(client, now);
+        let group = self.group_index(&forwarded.route.group, now);
+        let Some(session) = self.client_mut(client) else {
+            return;
+        };
+        session.is_forwarded = true;
+        session.database = Some(forwarded.route.database.clone());
+        session.values = forwarded.values;
+        session.position = session.position.max(forwarded.position);
+        session.has_doubt = forwarded.has_doubt;
+        if let (Some(shape), crate::statement::Statement::Execute { name, .. }) =
+            (forwarded.shape, &forwarded.query.statement)
+        {
+            session.prepare(name.clone(), shape);
+        }
+        if let Some(is_read_only) = forwarded.begins {
+            session.transaction = SessionTransaction::Open(OpenTransaction::new(
+                is_read_only,
+                forwarded.route.clone(),
+                group,
+                now,
+            ));
+        }
+        session.forwarded_route = Some(forwarded.route);
+        self.take_query(client, forwarded.query, now);
+    }
+
+    /// Ends the transaction of a forwarded session.
+    pub(crate) fn roll_back_forwarded(&mut self, client: ClientId, now: MonoTime) {
+        self.end_transaction(client, now);
+    }
+
+    /// Whether a session was forwarded by another instance.
+    pub fn is_forwarded(&self, client: ClientId) -> bool {
+        self.client(client)
+            .is_some_and(|session: &ClientSession| session.is_forwarded)
+    }
+}
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -66,6 +66,10 @@
     pub nominal_size: usize,
     /// Targets that were removed without their leaving, and when.
     pub vanished: Vec<(String, MonoTime)>,
+    /// Instance that statements of this group are forwarded to; none if they are served here.
+    pub remote_home: Option<String>,
+    /// When the home was last chosen.
+    pub home_chosen_at: MonoTime,
     pub promotion: Option<PromotionRun>,
     pub promotion_after: MonoTime,
 }
@@ -95,6 +99,8 @@
             led_at: None,
             nominal_size: 0,
             vanished: Vec::new(),
+            remote_home: None,
+            home_chosen_at: now,
             promotion: None,
             promotion_after: MonoTime::ZERO,
         }
@@ -136,7 +142,7 @@
         }
     }
 
-    /// Connections that this instance may keep to each target.
+    /// Connections that each of so many instances may keep to each target.
     pub fn share(&self, instances: usize) -> usize {
         let limit = self.rule.as_ref().map_or(DEFAULT_MAX_CONNECTIONS, |rule| {
             rule.max_connections as usize
@@ -144,6 +150,14 @@
         (limit / SHARED_DIVISOR / instances.max(1)).max(1)
     }
 
+    /// Whether the connections of a target are too few for each instance to hold its own.
+    pub fn is_scarce(&self, instances: usize) -> bool {
+        let limit = self.rule.as_ref().map_or(DEFAULT_MAX_CONNECTIONS, |rule| {
+            rule.max_connections as usize
+        });
+        limit / SHARED_DIVISOR < instances * MIN_OWN_CONNECTIONS
+    }
+
     /// Whether one more connection to a target beyond the share leaves room for others' shares.
     pub fn has_surplus(&self, target: TargetIndex, instances: usize, now: MonoTime) -> bool {
         let Some(lane) = self.lane(target).filter(|lane| now >= lane.surplus_after) else {
@@ -397,6 +411,10 @@
 /// find room.
 const RESERVED_DIVISOR: usize = 4;
 
+/// Connections to each target that an instance needs to serve a group by itself: one for statements and
+/// one for transactions that rest.
+const MIN_OWN_CONNECTIONS: usize = 2;
+
 /// Connections beyond the share that are tried without a recent count of the target's connections.
 const UNCOUNTED_SURPLUS: usize = 2;
 
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -368,10 +368,24 @@
         }
     }
 
+    /// Periodic work of a group that is used through its home: its connections here are closed.
+    pub(crate) fn rest_group(&mut self, group: GroupIndex, now: MonoTime) {
+        self.remove_missing(group, now);
+        self.fail_silent(group, now);
+        let idle = self.settings.surplus_idle;
+        let unused = self.groups[group.0]
+            .targets()
+            .filter_map(|(_, lane)| lane.surplus(0, idle, now))
+            .collect::<Vec<_>>();
+        for id in unused {
+            self.close_connection(id);
+        }
+    }
+
     /// Closes a connection beyond the share that has not been used for a while.
     fn close_surplus(&mut self, group: GroupIndex, now: MonoTime) {
         let idle = self.settings.surplus_idle;
-        let share = self.groups[group.0].share(self.instances);
+        let share = self.groups[group.0].share(self.holders(&self.groups[group.0]));
         let surplus = self.groups[group.0]
             .targets()
             .filter_map(|(_, lane)| lane.surplus(share, idle, now))
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -38,6 +38,8 @@
     Preparing(ConnectionId),
     /// It was sent.
     Sent(ConnectionId),
+    /// It was sent to the home of its group, the instance of this name.
+    Forwarded(String),
     /// Its answer waits for evidence that the target still led at this time.
     Held {
         /// The answer.
@@ -103,6 +105,8 @@
     pub group: GroupIndex,
     /// Connection that it runs on; none before its first statement.
     pub connection: Option<ConnectionId>,
+    /// Instance that it runs at, if its statements are forwarded.
+    pub home: Option<String>,
     /// Whether a statement has been answered on the connection.
     pub has_run: bool,
     pub has_written: bool,
@@ -112,6 +116,24 @@
     pub rests_since: MonoTime,
 }
 
+impl OpenTransaction {
+    /// A transaction without statements.
+    pub fn new(is_read_only: bool, route: SessionRoute, group: GroupIndex, now: MonoTime) -> Self {
+        Self {
+            is_read_only,
+            begun_at: now,
+            route,
+            group,
+            connection: None,
+            home: None,
+            has_run: false,
+            has_written: false,
+            is_verified: false,
+            rests_since: now,
+        }
+    }
+}
+
 /// Transaction state of a session.
 #[derive(Debug, Clone, Default)]
 pub(crate) enum SessionTransaction {
@@ -146,6 +168,12 @@
     pub transaction: SessionTransaction,
     pub request: Option<ClientRequest>,
     pub inbox: VecDeque<ClientQuery>,
+    /// The home that its statements were last forwarded to, which keeps a session for it.
+    pub last_home: Option<String>,
+    /// Whether another instance has the client and forwards its statements.
+    pub is_forwarded: bool,
+    /// Route of the last forwarded statement, as the other instance found it.
+    pub forwarded_route: Option<SessionRoute>,
     pub active_at: MonoTime,
 }
 
@@ -162,6 +190,9 @@
             transaction: SessionTransaction::None,
             request: None,
             inbox: VecDeque::new(),
+            last_home: None,
+            is_forwarded: false,
+            forwarded_route: None,
             active_at: now,
         }
     }
--- a/crates/runner/src/clients.rs
+++ b/crates/runner/src/clients.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use futures::StreamExt;
@@ -22,6 +24,7 @@
 
 use crate::formats::ClientInput;
 use crate::formats::WireFormat;
+use crate::links::LinkEvent;
 use crate::socket::set_socket_options;
 
 /// Longest line of a client or target, in bytes.
@@ -36,20 +39,32 @@
     Gateway(GatewayEvent),
     /// A client connected; its answers go to the sender.
     ClientConnected(ClientId, UnboundedSender<Bytes>),
+    /// Something happened on a link between instances.
+    Link(LinkEvent),
+}
+
+/// Source of client ids, shared by clients of this instance and sessions that others forward.
+#[derive(Debug, Clone, Default)]
+pub struct ClientIds(Arc<AtomicU64>);
+
+impl ClientIds {
+    /// An id that has not been used.
+    pub fn next(&self) -> ClientId {
+        ClientId(self.0.fetch_add(1, Ordering::Relaxed))
+    }
 }
 
 /// Accepts clients until the listener fails.
 pub async fn accept_clients(
     listener: TcpListener,
     format: Arc<dyn WireFormat>,
+    ids: ClientIds,
     events: UnboundedSender<RunnerEvent>,
 ) {
-    let mut next = 0;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let client = ClientId(next);
-                next += 1;
+                let client = ids.next();
                 let (answers, outgoing) = unbounded_channel();
                 let connected = RunnerEvent::ClientConnected(client, answers);
                 if events.send(connected).is_err() {
--- a/crates/runner/src/formats.rs
+++ b/crates/runner/src/formats.rs
@@ -44,6 +44,9 @@
     /// Decodes a line of a client.
     fn decode_client(&self, line: &str) -> ClientInput;
 
+    /// Decodes the text of a query with this id.
+    fn decode_query(&self, id: String, text: String) -> ClientInput;
+
     /// Decodes a line of a target; `None` if it is malformed.
     fn decode_target(&self, line: &str) -> Option<TargetLine>;
 
--- /dev/null
+++ b/crates/runner/src/frames.rs
@@ -0,0 +1,273 @@
+//! Messages between instances, as they are encoded on a link.
+
+use std::time::Duration;
+
+use heatherhollow_gateway::ClientAnswer;
+use heatherhollow_gateway::ClientCode;
+use heatherhollow_gateway::ClientQuery;
+use heatherhollow_gateway::ForwardedQuery;
+use heatherhollow_gateway::PreparedShape;
+use heatherhollow_gateway::RouteFreshness;
+use heatherhollow_gateway::SessionRoute;
+use heatherhollow_gateway::SessionState;
+use heatherhollow_types::GroupPosition;
+
+use crate::formats::ClientInput;
+use crate::formats::WireFormat;
+
+/// A frame of a link.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LinkFrame {
+    /// What it is.
+    #[prost(oneof = "FrameBody", tags = "1, 2, 3, 4, 5, 6, 7")]
+    pub body: Option<FrameBody>,
+}
+
+/// Body of a frame.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum FrameBody {
+    /// A statement for the home.
+    #[prost(message, tag = "1")]
+    Query(QueryFrame),
+    /// The transaction of this session is rolled back.
+    #[prost(uint64, tag = "2")]
+    Rollback(u64),
+    /// This session has ended.
+    #[prost(uint64, tag = "3")]
+    End(u64),
+    /// An answer of the home.
+    #[prost(message, tag = "4")]
+    Answer(AnswerFrame),
+    /// Asks whether the other side runs.
+    #[prost(bool, tag = "5")]
+    Ping(bool),
+    /// Answers a ping.
+    #[prost(bool, tag = "6")]
+    Pong(bool),
+    /// The home is about to stop.
+    #[prost(bool, tag = "7")]
+    Leaving(bool),
+}
+
+/// A name with a text.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct NamedText {
+    #[prost(string, tag = "1")]
+    pub name: String,
+    #[prost(string, tag = "2")]
+    pub text: String,
+}
+
+/// A log position.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct PositionField {
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    #[prost(uint64, tag = "2")]
+    pub position: u64,
+}
+
+/// A forwarded statement.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct QueryFrame {
+    #[prost(uint64, tag = "1")]
+    pub session: u64,
+    #[prost(string, tag = "2")]
+    pub id: String,
+    #[prost(string, tag = "3")]
+    pub text: String,
+    #[prost(string, tag = "4")]
+    pub database: String,
+    #[prost(string, tag = "5")]
+    pub group: String,
+    /// 0 present state, 1 bounded, 2 read your writes.
+    #[prost(uint32, tag = "6")]
+    pub freshness: u32,
+    #[prost(uint64, tag = "7")]
+    pub max_age_micros: u64,
+    #[prost(uint64, tag = "8")]
+    pub timeout_micros: u64,
+    #[prost(uint64, tag = "9")]
+    pub objective_micros: u64,
+    #[prost(uint32, tag = "10")]
+    pub priority: u32,
+    #[prost(bool, optional, tag = "11")]
+    pub begins_read_only: Option<bool>,
+    #[prost(message, repeated, tag = "12")]
+    pub values: Vec<NamedText>,
+    #[prost(bool, optional, tag = "13")]
+    pub shape_writes: Option<bool>,
+    #[prost(string, tag = "14")]
+    pub shape_text: String,
+    #[prost(message, optional, tag = "15")]
+    pub position: Option<PositionField>,
+    #[prost(bool, tag = "16")]
+    pub has_doubt: bool,
+}
+
+/// An answer to a forwarded statement.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct AnswerFrame {
+    #[prost(uint64, tag = "1")]
+    pub session: u64,
+    #[prost(string, repeated, tag = "2")]
+    pub rows: Vec<String>,
+    #[prost(string, optional, tag = "3")]
+    pub signature: Option<String>,
+    /// Index in [`CODES`] plus one; 0 for success.
+    #[prost(uint32, tag = "4")]
+    pub code: u32,
+    #[prost(string, tag = "5")]
+    pub text: String,
+    /// 0 idle, 1 transaction, 2 failed.
+    #[prost(uint32, tag = "6")]
+    pub state: u32,
+    #[prost(message, optional, tag = "7")]
+    pub position: Option<PositionField>,
+}
+
+/// Codes by their number on the link.
+const CODES: [ClientCode; 11] = [
+    ClientCode::Busy,
+    ClientCode::Aborted,
+    ClientCode::Lagging,
+    ClientCode::ReadOnly,
+    ClientCode::Failed,
+    ClientCode::NoStatement,
+    ClientCode::Timeout,
+    ClientCode::UnknownDatabase,
+    ClientCode::TooLarge,
+    ClientCode::Malformed,
+    ClientCode::InDoubt,
+];
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn position_field(position: GroupPosition) -> PositionField {
+    PositionField {
+        term: position.term.0,
+        position: position.position.0,
+    }
+}
+
+fn position_of(field: PositionField) -> GroupPosition {
+    GroupPosition::new(field.term, field.position)
+}
+
+/// Encodes a forwarded statement.
+pub fn query_frame(session: u64, forwarded: ForwardedQuery) -> QueryFrame {
+    let (freshness, max_age) = match forwarded.route.freshness {
+        RouteFreshness::Primary => (0, Duration::ZERO),
+        RouteFreshness::Bounded { max_age } => (1, max_age),
+        RouteFreshness::ReadYourWrites { max_age } => (2, max_age),
+    };
+    let shape = forwarded.shape;
+    QueryFrame {
+        session,
+        id: forwarded.query.id,
+        text: forwarded.query.text,
+        database: forwarded.route.database,
+        group: forwarded.route.group,
+        freshness,
+        max_age_micros: micros(max_age),
+        timeout_micros: micros(forwarded.route.timeout),
+        objective_micros: micros(forwarded.route.objective),
+        priority: forwarded.route.priority,
+        begins_read_only: forwarded.begins,
+        values: forwarded
+            .values
+            .into_iter()
+            .map(|(name, text)| NamedText { name, text })
+            .collect(),
+        shape_writes: shape.as_ref().map(|shape| shape.is_write),
+        shape_text: shape.map(|shape| shape.text).unwrap_or_default(),
+        position: forwarded.position.map(position_field),
+        has_doubt: forwarded.has_doubt,
+    }
+}
+
+/// Decodes a forwarded statement; `None` if it makes no sense.
+pub fn forwarded_query(frame: QueryFrame, wire: &dyn WireFormat) -> Option<ForwardedQuery> {
+    let max_age = Duration::from_micros(frame.max_age_micros);
+    let freshness = match frame.freshness {
+        0 => RouteFreshness::Primary,
+        1 => RouteFreshness::Bounded { max_age },
+        2 => RouteFreshness::ReadYourWrites { max_age },
+        _ => return None,
+    };
+    let query: ClientQuery = match wire.decode_query(frame.id, frame.text) {
+        ClientInput::Query(query) => query,
+        _ => return None,
+    };
+    let mut values = frame
+        .values
+        .into_iter()
+        .map(|value| (value.name, value.text))
+        .collect::<Vec<_>>();
+    values.sort();
+    Some(ForwardedQuery {
+        query,
+        route: SessionRoute {
+            database: frame.database,
+            group: frame.group,
+            freshness,
+            timeout: Duration::from_micros(frame.timeout_micros),
+            objective: Duration::from_micros(frame.objective_micros),
+            priority: frame.priority,
+        },
+        begins: frame.begins_read_only,
+        values,
+        shape: frame.shape_writes.map(|is_write| PreparedShape {
+            is_write,
+            text: frame.shape_text,
+        }),
+        position: frame.position.map(position_of),
+        has_doubt: frame.has_doubt,
+    })
+}
+
+/// Encodes an answer.
+pub fn answer_frame(session: u64, answer: ClientAnswer) -> AnswerFrame {
+    let (signature, code, text) = match answer.end {
+        Ok(signature) => (signature, 0, String::new()),
+        Err((code, text)) => {
+            let index = CODES.iter().position(|known| *known == code);
+            let index = index.expect("every code has a number");
+            (None, index as u32 + 1, text)
+        }
+    };
+    AnswerFrame {
+        session,
+        rows: answer.rows,
+        signature,
+        code,
+        text,
+        state: match answer.state {
+            SessionState::Idle => 0,
+            SessionState::Transaction => 1,
+            SessionState::Failed => 2,
+        },
+        position: answer.position.map(position_field),
+    }
+}
+
+/// Decodes an answer; `None` if it makes no sense.
+pub fn client_answer(frame: AnswerFrame) -> Option<ClientAnswer> {
+    let end = match frame.code {
+        0 => Ok(frame.signature),
+        code => Err((*CODES.get(code as usize - 1)?, frame.text)),
+    };
+    Some(ClientAnswer {
+        rows: frame.rows,
+        end,
+        state: match frame.state {
+            0 => SessionState::Idle,
+            1 => SessionState::Transaction,
+            2 => SessionState::Failed,
+            _ => return None,
+        },
+        position: frame.position.map(position_of),
+    })
+}
--- /dev/null
+++ b/crates/runner/src/links.rs
@@ -0,0 +1,234 @@
+//! Links between instances: one connection from each instance to each home that it uses.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures::SinkExt;
+use futures::StreamExt;
+use log::debug;
+use log::info;
+use log::warn;
+use prost::Message;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::time::Instant;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::clients::RunnerEvent;
+use crate::frames::FrameBody;
+use crate::frames::LinkFrame;
+use crate::socket::set_socket_options;
+
+/// Largest frame, in bytes; a statement or answer has at most a message of the line protocol and its
+/// session's values.
+const MAX_FRAME_BYTES: usize = 8 << 20;
+
+/// Time after which opening a link counts as failed.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time without any frame after which a waiting side asks whether the other runs.
+const PING_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time without any frame, while some are expected, after which the other side counts as lost: it is
+/// frozen, cut off or too slow to serve.
+const SILENCE_LIMIT: Duration = Duration::from_millis(900);
+
+/// A link that another instance opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LinkId(pub u64);
+
+/// Something that happened on a link.
+pub enum LinkEvent {
+    /// Another instance opened a link; frames for it go to the sender.
+    Accepted(LinkId, UnboundedSender<FrameBody>),
+    /// A frame came from another instance that opened the link.
+    Received(LinkId, FrameBody),
+    /// A link that another instance opened ended.
+    Ended(LinkId),
+    /// A frame came from a home.
+    HomeSent(String, FrameBody),
+    /// The link to a home ended or could not be opened.
+    HomeEnded(String),
+}
+
+/// Accepts links until the listener fails.
+pub async fn accept_links(listener: TcpListener, events: UnboundedSender<RunnerEvent>) {
+    let mut next = 0;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let link = LinkId(next);
+                next += 1;
+                let (sender, outgoing) = unbounded_channel();
+                let accepted = LinkEvent::Accepted(link, sender);
+                if events.send(RunnerEvent::Link(accepted)).is_err() {
+                    return;
+                }
+                tokio::spawn(serve_link(link, stream, outgoing, events.clone()));
+            }
+            Err(error) => {
+                warn!("link_accept_failed error={error}");
+                tokio::time::sleep(PING_INTERVAL).await;
+            }
+        }
+    }
+}
+
+async fn serve_link(
+    link: LinkId,
+    stream: TcpStream,
+    mut outgoing: UnboundedReceiver<FrameBody>,
+    events: UnboundedSender<RunnerEvent>,
+) {
+    set_socket_options(&stream);
+    let mut frames = framed(stream);
+    loop {
+        tokio::select! {
+            biased;
+            body = outgoing.recv() => match body {
+                Some(body) => {
+                    if send_all(&mut frames, body, &mut outgoing).await.is_err() {
+                        break;
+                    }
+                }
+                None => break,
+            },
+            frame = frames.next() => match frame.map(decode) {
+                Some(Ok(FrameBody::Ping(_))) => {
+                    if frames.send(encode(FrameBody::Pong(true))).await.is_err() {
+                        break;
+                    }
+                }
+                Some(Ok(body)) => {
+                    let event = RunnerEvent::Link(LinkEvent::Received(link, body));
+                    if events.send(event).is_err() {
+                        return;
+                    }
+                }
+                Some(Err(error)) => {
+                    warn!("link_frame_unusable error={error:?}");
+                    break;
+                }
+                None => break,
+            },
+        }
+    }
+    if events.send(RunnerEvent::Link(LinkEvent::Ended(link))).is_err() {
+        debug!("link_ended_after_stop");
+    }
+}
+
+/// Opens a link to a home and serves it until it ends or its sender is dropped.
+pub async fn run_home_link(
+    home: String,
+    address: SocketAddr,
+    mut outgoing: UnboundedReceiver<FrameBody>,
+    events: UnboundedSender<RunnerEvent>,
+) {
+    if let Err(error) = home_link(&home, address, &mut outgoing, &events).await {
+        info!("home_link_ended home={home} address={address} error={error:?}");
+    }
+    let ended = LinkEvent::HomeEnded(home);
+    if events.send(RunnerEvent::Link(ended)).is_err() {
+        debug!("home_link_ended_after_stop");
+    }
+}
+
+async fn home_link(
+    home: &str,
+    address: SocketAddr,
+    outgoing: &mut UnboundedReceiver<FrameBody>,
+    events: &UnboundedSender<RunnerEvent>,
+) -> Result<(), String> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_| "connecting timed out".to_string())?
+        .map_err(|error| error.to_string())?;
+    set_socket_options(&stream);
+    let mut frames = framed(stream);
+    // Since when frames have been sent without anything coming back.
+    let mut waiting_since: Option<Instant> = None;
+    loop {
+        let silence = async {
+            match waiting_since {
+                Some(since) => tokio::time::sleep_until(since + SILENCE_LIMIT).await,
+                None => std::future::pending().await,
+            }
+        };
+        let ping = async {
+            match waiting_since {
+                Some(_) => tokio::time::sleep(PING_INTERVAL).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            body = outgoing.recv() => match body {
+                Some(body) => {
+                    waiting_since.get_or_insert_with(Instant::now);
+                    send_all(&mut frames, body, outgoing).await?;
+                }
+                None => return Ok(()),
+            },
+            frame = frames.next() => match frame.map(decode) {
+                Some(Ok(body)) => {
+                    waiting_since = None;
+                    if matches!(body, FrameBody::Pong(_)) {
+                        continue;
+                    }
+                    let event = LinkEvent::HomeSent(home.to_string(), body);
+                    if events.send(RunnerEvent::Link(event)).is_err() {
+                        return Ok(());
+                    }
+                }
+                Some(Err(error)) => return Err(error),
+                None => return Err("closed".to_string()),
+            },
+            () = silence => return Err("silent".to_string()),
+            () = ping => {
+                frames.send(encode(FrameBody::Ping(true))).await.map_err(|e| e.to_string())?;
+            }
+        }
+    }
+}
+
+type FrameStream = Framed<TcpStream, LengthDelimitedCodec>;
+
+fn framed(stream: TcpStream) -> FrameStream {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME_BYTES)
+        .new_framed(stream)
+}
+
+/// Sends a frame and those that wait behind it in one piece.
+async fn send_all(
+    frames: &mut FrameStream,
+    first: FrameBody,
+    outgoing: &mut UnboundedReceiver<FrameBody>,
+) -> Result<(), String> {
+    let feed = async {
+        frames.feed(encode(first)).await?;
+        while let Ok(next) = outgoing.try_recv() {
+            frames.feed(encode(next)).await?;
+        }
+        SinkExt::<Bytes>::flush(frames).await
+    };
+    feed.await.map_err(|error: std::io::Error| error.to_string())
+}
+
+fn encode(body: FrameBody) -> Bytes {
+    Bytes::from(LinkFrame { body: Some(body) }.encode_to_vec())
+}
+
+fn decode(frame: std::io::Result<BytesMut>) -> Result<FrameBody, String> {
+    let frame = frame.map_err(|error| error.to_string())?;
+    let frame = LinkFrame::decode(frame).map_err(|error| error.to_string())?;
+    frame.body.ok_or_else(|| "a frame has no body".to_string())
+}
--- a/crates/runner/src/run.rs
+++ b/crates/runner/src/run.rs
@@ -17,6 +17,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use heatherhollow_gateway::ClientId;
@@ -29,6 +30,7 @@
 use heatherhollow_ports::StorePort;
 use heatherhollow_types::MonoTime;
 
+use crate::clients::ClientIds;
 use crate::clients::RunnerEvent;
 use crate::clients::accept_clients;
 use crate::clock;
@@ -36,6 +38,9 @@
 use crate::formats::CatalogFormat;
 use crate::formats::PromotionPort;
 use crate::formats::WireFormat;
+use crate::link_table::LinkTable;
+use crate::links::accept_links;
+use crate::membership::MemberValue;
 use crate::membership::keep_entry;
 use crate::metrics::MetricsStatistics;
 use crate::metrics::RunnerMetrics;
@@ -106,6 +111,9 @@
     clients: Vec<ClientLink>,
     /// Sorted by id.
     targets: Vec<TargetLink>,
+    links: LinkTable,
+    /// Tells the task that keeps the instance's entry that it leaves.
+    leaving: watch::Sender<bool>,
     duty: Arc<PromotionDuty>,
     page: Arc<StatusPage>,
     stop_began: Option<MonoTime>,
@@ -133,7 +141,18 @@
         settings.status_listen
     );
     tokio::spawn(serve_status(status, page.clone()));
-    tokio::spawn(accept_clients(clients, parts.wire.clone(), events.clone()));
+    let ids = ClientIds::default();
+    tokio::spawn(accept_clients(
+        clients,
+        parts.wire.clone(),
+        ids.clone(),
+        events.clone(),
+    ));
+    let links = listen(parts.settings.link_listen).await?;
+    let link_address = links
+        .local_addr()
+        .map_err(|error| RunError::Listen(settings.link_listen, error))?;
+    tokio::spawn(accept_links(links, events.clone()));
     let watch = StoreWatch::new(
         parts.store.clone(),
         parts.catalog.clone(),
@@ -142,10 +161,18 @@
     );
     tokio::spawn(watch.run());
     let name = settings.identity.name.clone();
+    let (leaving, is_leaving) = watch::channel(false);
+    let member = MemberValue {
+        address: link_address,
+        data_centre: settings.identity.data_centre.clone(),
+        capacity: settings.capacity,
+    };
     tokio::spawn(keep_entry(
         parts.store.clone(),
         name.clone(),
+        member,
         settings.member_lease,
+        is_leaving,
     ));
     let holder = format!("{name} run {:016x}", rand::random::<u64>());
     let duty = PromotionDuty::new(parts.store.clone(), holder, settings.duty_lease);
@@ -160,6 +187,8 @@
         events,
         clients: Vec::new(),
         targets: Vec::new(),
+        links: LinkTable::new(ids),
+        leaving,
         duty: Arc::new(duty),
         page,
         stop_began: None,
@@ -249,6 +278,12 @@
                 });
                 self.take(GatewayEvent::ClientOpened(id), now);
             }
+            RunnerEvent::Link(event) => {
+                let wire = self.parts.wire.clone();
+                for event in self.links.take(event, &*wire) {
+                    self.take(event, now);
+                }
+            }
             RunnerEvent::Gateway(event) => {
                 match &event {
                     GatewayEvent::ClientClosed(id) => self.remove_client(*id),
@@ -271,6 +306,18 @@
 
     fn perform(&mut self, action: GatewayAction) {
         match action {
+            GatewayAction::AnswerClient { client, answer } if self.links.has(client) => {
+                self.links.answer(client, answer);
+            }
+            GatewayAction::SendHome {
+                home,
+                address,
+                client,
+                message,
+            } => {
+                let events = &self.events;
+                self.links.send_home(home, address, client, message, events);
+            }
             GatewayAction::AnswerClient { client, answer } => {
                 let wire = self.parts.wire.clone();
                 let Some(link) = self.client(client) else {
@@ -383,6 +430,9 @@
             self.stop_began = Some(now);
             self.take(GatewayEvent::StopRequested, now);
             self.update_status();
+            self.links.announce_leaving();
+            // The task that keeps the entry has ended if nobody receives.
+            let _is_received = self.leaving.send(true).is_ok();
         }
     }
 
--- a/crates/runner/src/settings.rs
+++ b/crates/runner/src/settings.rs
@@ -13,6 +13,10 @@
     pub identity: InstanceIdentity,
     /// Address for clients.
     pub client_listen: SocketAddr,
+    /// Address for other instances.
+    pub link_listen: SocketAddr,
+    /// Processor share, in thousandths of a core.
+    pub capacity: u32,
     /// Address of the readiness probe and the metrics.
     pub status_listen: SocketAddr,
     /// Path of the readiness probe.
@@ -45,6 +49,8 @@
                 regions: Vec::new(),
             },
             client_listen: any,
+            link_listen: any,
+            capacity: 1_000,
             status_listen: any,
             ready_path: "/ready".to_string(),
             metrics_path: "/metrics".to_string(),
--- a/crates/runner/src/watch.rs
+++ b/crates/runner/src/watch.rs
@@ -18,7 +18,7 @@
 use crate::formats::CatalogFormat;
 use crate::formats::StoreValue;
 use crate::membership::MEMBERS_PREFIX;
-use crate::membership::MemberCount;
+use crate::membership::MemberList;
 
 /// Pause after the first failed call; it doubles with each failure up to [`MAX_PAUSE`], with jitter, so
 /// that an outage is not filled with calls, each of which is paid for.
@@ -32,7 +32,7 @@
     store: Arc<dyn StorePort>,
     format: Arc<dyn CatalogFormat>,
     events: UnboundedSender<RunnerEvent>,
-    members: MemberCount,
+    members: MemberList,
     wait: Duration,
 }
 
@@ -48,7 +48,7 @@
             store,
             format,
             events,
-            members: MemberCount::default(),
+            members: MemberList::default(),
             wait,
         }
     }
@@ -107,11 +107,11 @@
 
     fn replace_all(&mut self, entries: Vec<StoreEntry>) {
         let mut targets = Vec::new();
-        let mut members = Vec::new();
+        self.members.clear();
         let mut catalog = None;
         for entry in entries {
             if entry.path.starts_with(MEMBERS_PREFIX) {
-                members.push(entry.path);
+                self.members.record(&entry.path, Some(&entry.value));
                 continue;
             }
             match self.format.decode(&entry.path, Some(&entry.value)) {
@@ -123,11 +123,10 @@
         info!(
             "store_listed targets={} instances={} has_catalog={}",
             targets.len(),
-            members.len(),
+            self.members.members().len(),
             catalog.is_some()
         );
-        self.members.replace(members);
-        self.report_count();
+        self.report_members();
         if let Some(catalog) = catalog {
             self.report(GatewayEvent::CatalogRead(catalog));
         }
@@ -136,8 +135,8 @@
 
     fn apply(&mut self, change: StoreChange) {
         if change.path.starts_with(MEMBERS_PREFIX) {
-            self.members.record(&change.path, change.value.is_some());
-            self.report_count();
+            self.members.record(&change.path, change.value.as_deref());
+            self.report_members();
             return;
         }
         match self.format.decode(&change.path, change.value.as_deref()) {
@@ -148,9 +147,11 @@
         }
     }
 
-    fn report_count(&mut self) {
+    fn report_members(&mut self) {
         let count = self.members.count(clock::now());
         self.report(GatewayEvent::InstancesCounted(count));
+        let members = self.members.members().to_vec();
+        self.report(GatewayEvent::PeersRead(members));
     }
 
     fn report(&self, event: GatewayEvent) {
