Try idle replicas whose lag is only estimated; end forwarded transactions

Cause: reads waited at their home beside idle replicas whose estimated lag was above the bound, and one read at a time used the primary. A failed transaction that was rolled back at the client's instance stayed failed at the home, which answered the next statement as malformed.

Change: after 60 ms a read is tried at an idle replica, which checks the position; reads may use two thirds of the primary's connections; a forwarded statement says how it belongs to a transaction.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -153,8 +153,8 @@
             };
             let opening = lane.opening();
             let is_enough = opening >= wanted.min(self.settings.max_opening);
-            let has_room =
-                lane.connections.len() < share || state.has_surplus(target, self.holders(state), now);
+            let has_room = lane.connections.len() < share
+                || state.has_surplus(target, self.holders(state), now);
             if is_enough || !has_room || now < lane.open_after {
                 return;
             }
@@ -238,7 +238,15 @@
             max_wait: MAX_REPLICA_WAIT,
             deadline: request.deadline(),
         };
-        match choose_route(&query, &views, &state.tracker, &self.settings.policy, now) {
+        let choice = choose_route(&query, &views, &state.tracker, &self.settings.policy, now);
+        let waited = now.since(request.received_at);
+        if !matches!(choice, RouteChoice::Go(_))
+            && waited >= self.settings.try_lagging_after
+            && let Some(target) = idle_replica(state, &views)
+        {
+            return Placement::Target(target);
+        }
+        match choice {
             RouteChoice::Go(target) => Placement::Target(target),
             RouteChoice::WaitFor { .. } => Placement::Wait,
             RouteChoice::Refuse {
@@ -522,7 +530,9 @@
         let group = request.group;
         let is_commit = request.kind == RequestKind::Commit;
         let pinned = session.open_transaction().and_then(|open| open.connection);
-        let home = session.open_transaction().and_then(|open| open.home.clone());
+        let home = session
+            .open_transaction()
+            .and_then(|open| open.home.clone());
         if session.open_transaction().is_some() {
             session.transaction = if is_commit {
                 SessionTransaction::None
@@ -698,6 +708,19 @@
     }
 }
 
+/// A replica with an idle connection among those that can be used.
+fn idle_replica(state: &DatabaseGroup, views: &[TargetView]) -> Option<TargetIndex> {
+    views
+        .iter()
+        .filter(|view| !view.is_primary && !view.is_leaving && !view.is_suspected)
+        .filter(|view| {
+            let lane = state.lane(view.target);
+            lane.is_some_and(|lane| lane.any_idle().is_some())
+        })
+        .min_by_key(|view| (view.in_flight, view.is_remote))
+        .map(|view| view.target)
+}
+
 /// The known primary, if statements can be sent to it.
 fn usable_primary(
     state: &DatabaseGroup,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -31,6 +31,20 @@
 use crate::session::SessionTransaction;
 use crate::statement::PreparedShape;
 
+/// How a statement belongs to a transaction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TransactionPart {
+    /// It stands alone.
+    Single,
+    /// It is the first of a transaction.
+    First {
+        /// Whether the transaction only reads.
+        is_read_only: bool,
+    },
+    /// It is a later one of a transaction at the same home.
+    Later,
+}
+
 /// A statement on its way to the home of its group.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ForwardedQuery {
@@ -38,8 +52,8 @@
     pub query: ClientQuery,
     /// Route that the client's instance found for it.
     pub route: SessionRoute,
-    /// Set if the statement is the first of a transaction: whether that only reads.
-    pub begins: Option<bool>,
+    /// How the statement belongs to a transaction of the session.
+    pub part: TransactionPart,
     /// Values of the session, sorted by name.
     pub values: Vec<(String, String)>,
     /// What the statement executes, if it executes a prepared one.
@@ -70,7 +84,10 @@
 
 impl SessionGateway {
     pub(crate) fn replace_peers(&mut self, peers: Vec<PeerEntry>, now: MonoTime) {
-        let mut data_centres = peers.iter().map(|peer| &peer.data_centre).collect::<Vec<_>>();
+        let mut data_centres = peers
+            .iter()
+            .map(|peer| &peer.data_centre)
+            .collect::<Vec<_>>();
         data_centres.sort();
         data_centres.dedup();
         self.data_centres = data_centres.len().max(1);
@@ -165,13 +182,14 @@
             return;
         };
         let shape = session.requested_shape().cloned();
-        let begins = match &mut session.transaction {
-            SessionTransaction::Open(open) => {
-                let is_first = open.home.is_none();
-                open.home = Some(home.clone());
-                is_first.then_some(open.is_read_only)
-            }
-            _ => None,
+        let part = match &mut session.transaction {
+            SessionTransaction::Open(open) => match open.home.replace(home.clone()) {
+                Some(_) => TransactionPart::Later,
+                None => TransactionPart::First {
+                    is_read_only: open.is_read_only,
+                },
+            },
+            _ => TransactionPart::Single,
         };
         let Some(request) = &mut session.request else {
             return;
@@ -183,7 +201,7 @@
         let query = ForwardedQuery {
             query: request.query.clone(),
             route: request.route.clone(),
-            begins,
+            part,
             shape,
             values: session.values.clone(),
             position: session.position,
@@ -317,13 +335,17 @@
         {
             session.prepare(name.clone(), shape);
         }
-        if let Some(is_read_only) = forwarded.begins {
-            session.transaction = SessionTransaction::Open(OpenTransaction::new(
-                is_read_only,
-                forwarded.route.clone(),
-                group,
-                now,
-            ));
+        if forwarded.part != TransactionPart::Later {
+            // A failed transaction may have been ended at the other instance alone.
+            self.end_transaction(client, now);
+        }
+        let Some(session) = self.client_mut(client) else {
+            return;
+        };
+        if let TransactionPart::First { is_read_only } = forwarded.part {
+            let route = forwarded.route.clone();
+            let open = OpenTransaction::new(is_read_only, route, group, now);
+            session.transaction = SessionTransaction::Open(open);
         }
         session.forwarded_route = Some(forwarded.route);
         self.take_query(client, forwarded.query, now);
--- a/crates/gateway/src/homes.rs
+++ b/crates/gateway/src/homes.rs
@@ -49,8 +49,7 @@
     /// Leaves an instance out for a while.
     pub fn avoid(&mut self, instance: &str, now: MonoTime) {
         self.avoided.retain(|(known, _)| known != instance);
-        self.avoided
-            .push((instance.to_string(), now + AVOID_TIME));
+        self.avoided.push((instance.to_string(), now + AVOID_TIME));
     }
 
     /// The address of an instance.
@@ -66,9 +65,8 @@
         self.peers
             .iter()
             .filter(|peer| {
-                let is_avoided = |(known, until): &(String, MonoTime)| {
-                    *known == peer.instance && now < *until
-                };
+                let is_avoided =
+                    |(known, until): &(String, MonoTime)| *known == peer.instance && now < *until;
                 !self.avoided.iter().any(is_avoided)
             })
             .min_by(|a, b| rank(a, group).total_cmp(&rank(b, group)))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 pub use core::SessionGateway;
 pub use forward::ForwardedQuery;
 pub use forward::HomeMessage;
+pub use forward::TransactionPart;
 pub use homes::PeerEntry;
 pub use lane::ConnectionId;
 pub use message::AnswerEnd;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -40,6 +40,9 @@
     /// Time between two observations of a group that is in use. Less than half of the staleness bounds
     /// in use, 1.5 s and more, so that replicas that lag by as much as the rest stay usable.
     pub observe_interval: Duration,
+    /// Time after which a read that no target seems fresh enough for is tried at an idle replica: the
+    /// estimate of its lag may be too high, and the replica checks the position.
+    pub try_lagging_after: Duration,
     /// Time without an answer after which a replica is asked for its position while reads wait.
     pub probe_interval: Duration,
     /// Time after which a status call counts as unanswered; several times the round trip between
@@ -100,12 +103,20 @@
     pub max_log_lines: u32,
 }
 
+/// Part of an instance's connections to a primary that reads may use while all replicas lag. Writes wait
+/// in the same queue and go by urgency, so only some room for transactions is kept free.
+const PRIMARY_READ_SHARE: f64 = 0.67;
+
 impl Default for GatewaySettings {
     fn default() -> Self {
         Self {
-            policy: RoutePolicy::default(),
+            policy: RoutePolicy {
+                primary_read_share: PRIMARY_READ_SHARE,
+                ..RoutePolicy::default()
+            },
             monitor: MonitorSettings::default(),
             observe_interval: Duration::from_millis(650),
+            try_lagging_after: Duration::from_millis(60),
             probe_interval: Duration::from_millis(300),
             status_timeout: Duration::from_millis(400),
             connect_timeout: Duration::from_millis(600),
--- a/crates/runner/src/frames.rs
+++ b/crates/runner/src/frames.rs
@@ -10,6 +10,7 @@
 use heatherhollow_gateway::RouteFreshness;
 use heatherhollow_gateway::SessionRoute;
 use heatherhollow_gateway::SessionState;
+use heatherhollow_gateway::TransactionPart;
 use heatherhollow_types::GroupPosition;
 
 use crate::formats::ClientInput;
@@ -91,8 +92,9 @@
     pub objective_micros: u64,
     #[prost(uint32, tag = "10")]
     pub priority: u32,
-    #[prost(bool, optional, tag = "11")]
-    pub begins_read_only: Option<bool>,
+    /// 0 single, 1 first of a transaction, 2 first of one that only reads, 3 a later one.
+    #[prost(uint32, tag = "11")]
+    pub part: u32,
     #[prost(message, repeated, tag = "12")]
     pub values: Vec<NamedText>,
     #[prost(bool, optional, tag = "13")]
@@ -175,7 +177,14 @@
         timeout_micros: micros(forwarded.route.timeout),
         objective_micros: micros(forwarded.route.objective),
         priority: forwarded.route.priority,
-        begins_read_only: forwarded.begins,
+        part: match forwarded.part {
+            TransactionPart::Single => 0,
+            TransactionPart::First {
+                is_read_only: false,
+            } => 1,
+            TransactionPart::First { is_read_only: true } => 2,
+            TransactionPart::Later => 3,
+        },
         values: forwarded
             .values
             .into_iter()
@@ -217,7 +226,15 @@
             objective: Duration::from_micros(frame.objective_micros),
             priority: frame.priority,
         },
-        begins: frame.begins_read_only,
+        part: match frame.part {
+            0 => TransactionPart::Single,
+            1 => TransactionPart::First {
+                is_read_only: false,
+            },
+            2 => TransactionPart::First { is_read_only: true },
+            3 => TransactionPart::Later,
+            _ => return None,
+        },
         values,
         shape: frame.shape_writes.map(|is_write| PreparedShape {
             is_write,
--- a/crates/runner/src/link_table.rs
+++ b/crates/runner/src/link_table.rs
@@ -182,7 +182,12 @@
             Err(_) if !matches!(body, FrameBody::Query(_)) => return,
             Err(i) => {
                 let (sender, outgoing) = unbounded_channel();
-                tokio::spawn(run_home_link(home.clone(), address, outgoing, events.clone()));
+                tokio::spawn(run_home_link(
+                    home.clone(),
+                    address,
+                    outgoing,
+                    events.clone(),
+                ));
                 self.homes.insert(i, (home, sender));
                 i
             }
--- a/crates/runner/src/links.rs
+++ b/crates/runner/src/links.rs
@@ -120,7 +120,10 @@
             },
         }
     }
-    if events.send(RunnerEvent::Link(LinkEvent::Ended(link))).is_err() {
+    if events
+        .send(RunnerEvent::Link(LinkEvent::Ended(link)))
+        .is_err()
+    {
         debug!("link_ended_after_stop");
     }
 }
@@ -220,7 +223,8 @@
         }
         SinkExt::<Bytes>::flush(frames).await
     };
-    feed.await.map_err(|error: std::io::Error| error.to_string())
+    feed.await
+        .map_err(|error: std::io::Error| error.to_string())
 }
 
 fn encode(body: FrameBody) -> Bytes {
--- a/crates/runner/src/membership.rs
+++ b/crates/runner/src/membership.rs
@@ -103,7 +103,10 @@
             capacity: value.capacity,
         }),
         Err(error) => {
-            warn!("member_entry_unusable instance={instance:?} error={:?}", error.to_string());
+            warn!(
+                "member_entry_unusable instance={instance:?} error={:?}",
+                error.to_string()
+            );
             None
         }
     }
