Take events before idle sessions close; gather store changes

Ruled out: the home (it got the query, and the end of the session after).

Change: the channel is drained before idle sessions are closed; after changes that do not say who leads or leaves, the watch pauses 250 ms.

--- a/crates/runner/src/run.rs
+++ b/crates/runner/src/run.rs
@@ -237,6 +237,10 @@
                 next_tick = self.gateway.next_tick(now);
                 if self.stop_began.is_some() {
                     next_tick = next_tick.min(now + STOP_INTERVAL);
+                    // A session with a query that has been read but not taken yet is not idle.
+                    while let Ok(event) = incoming.try_recv() {
+                        self.take_runner_event(event, now);
+                    }
                     if self.continue_stop(now) {
                         return;
                     }
--- a/crates/runner/src/watch.rs
+++ b/crates/runner/src/watch.rs
@@ -7,6 +7,8 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use heatherhollow_gateway::GatewayEvent;
+use heatherhollow_gateway::TargetRole;
+use heatherhollow_gateway::TargetState;
 use heatherhollow_ports::StoreChange;
 use heatherhollow_ports::StoreEntry;
 use heatherhollow_ports::StoreError;
@@ -27,12 +29,19 @@
 /// Longest pause after a failed call.
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 
+/// Pause before the next call after changes that are not urgent. Instances that start together and
+/// configurations that follow one another then cost one call instead of one each; a configuration has
+/// seconds to come into force.
+const GATHER_PAUSE: Duration = Duration::from_millis(250);
+
 /// Watches the store and reports what changes.
 pub struct StoreWatch {
     store: Arc<dyn StorePort>,
     format: Arc<dyn CatalogFormat>,
     events: UnboundedSender<RunnerEvent>,
     members: MemberList,
+    /// Whether targets were found in the list; before that they come one by one.
+    is_listed: bool,
     wait: Duration,
 }
 
@@ -49,6 +58,7 @@
             format,
             events,
             members: MemberList::default(),
+            is_listed: false,
             wait,
         }
     }
@@ -97,8 +107,14 @@
             Some(after) => {
                 let changes = self.store.watch(prefix, after, self.wait).await?;
                 let last = changes.iter().map(|change| change.revision).max();
-                for change in changes {
-                    self.apply(change);
+                let is_urgent = changes
+                    .into_iter()
+                    .map(|change| self.apply(change))
+                    .fold(last.is_none(), |is_urgent, is_change| {
+                        is_urgent || is_change
+                    });
+                if !is_urgent {
+                    tokio::time::sleep(GATHER_PAUSE).await;
                 }
                 Ok(last.map_or(after, |last| last.max(after)))
             }
@@ -126,6 +142,7 @@
             self.members.members().len(),
             catalog.is_some()
         );
+        self.is_listed = !targets.is_empty();
         self.report_members();
         if let Some(catalog) = catalog {
             self.report(GatewayEvent::CatalogRead(catalog));
@@ -133,18 +150,28 @@
         self.report(GatewayEvent::TargetsRead(targets));
     }
 
-    fn apply(&mut self, change: StoreChange) {
+    /// Reports a change; true if it is about who leads or leaves.
+    fn apply(&mut self, change: StoreChange) -> bool {
         if change.path.starts_with(MEMBERS_PREFIX) {
             self.members.record(&change.path, change.value.as_deref());
             self.report_members();
-            return;
+            return false;
         }
         match self.format.decode(&change.path, change.value.as_deref()) {
             StoreValue::Catalog(catalog) => self.report(GatewayEvent::CatalogRead(catalog)),
-            StoreValue::Target(target) => self.report(GatewayEvent::TargetListed(target)),
-            StoreValue::TargetGone(target) => self.report(GatewayEvent::TargetUnlisted(target)),
+            StoreValue::Target(target) => {
+                let is_change = self.is_listed
+                    && (target.role == Some(TargetRole::Primary)
+                        || target.state == TargetState::Draining);
+                self.report(GatewayEvent::TargetListed(target));
+                return is_change;
+            }
+            StoreValue::TargetGone(target) => {
+                self.report(GatewayEvent::TargetUnlisted(target));
+            }
             StoreValue::Other => {}
         }
+        false
     }
 
     fn report_members(&mut self) {
