Shorten pauses of borrowing; place statements of unopened links again

Each refusal at a limit stopped borrowing for 3.5 s, and instances whose home was still starting served by themselves for 4 s, which took connections from the homes.

Ruled out: lag (bounds of 100 to 280 ms), suspicion (none), load (as before the fault).

Change: borrowing pauses 0.8 s after a refusal; an instance to which no link could be opened is left out for 0.5 s, and what waited for the link is placed again instead of being in doubt.

--- a/crates/gateway/src/action.rs
+++ b/crates/gateway/src/action.rs
@@ -135,7 +135,12 @@
         answer: ClientAnswer,
     },
     /// The link to a home was lost or could not be opened.
-    HomeLost(String),
+    HomeLost {
+        /// The home.
+        home: String,
+        /// Whether it had been opened; otherwise nothing has reached the home.
+        was_open: bool,
+    },
     /// A home is about to stop.
     HomeLeaving(String),
     /// Another instance forwarded a statement; `client` stands for its session there.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -174,7 +174,7 @@
                 serial,
                 answer,
             } => self.take_home_answer(client, serial, answer, now),
-            GatewayEvent::HomeLost(home) => self.lose_home(&home, now),
+            GatewayEvent::HomeLost { home, was_open } => self.lose_home(&home, was_open, now),
             GatewayEvent::HomeLeaving(home) => self.leave_home(&home, now),
             GatewayEvent::Forwarded { client, query } => {
                 self.take_forwarded(client, *query, now);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -18,7 +18,9 @@
 use crate::core::SessionGateway;
 use crate::group::DatabaseGroup;
 use crate::group::GroupIndex;
+use crate::homes::AVOID_TIME;
 use crate::homes::PeerEntry;
+use crate::homes::UNOPENED_AVOID_TIME;
 use crate::message::ClientAnswer;
 use crate::message::ClientCode;
 use crate::message::ClientId;
@@ -289,9 +291,16 @@
     }
 
     /// A home cannot be reached any more, or leaves.
-    pub(crate) fn lose_home(&mut self, home: &str, now: MonoTime) {
-        info!("home_lost instance={home}");
-        self.homes.avoid(home, now);
+    ///
+    /// What was forwarded over a link that had not been opened has not run and is placed again.
+    pub(crate) fn lose_home(&mut self, home: &str, was_open: bool, now: MonoTime) {
+        info!("home_lost instance={home} was_open={was_open}");
+        let span = if was_open {
+            AVOID_TIME
+        } else {
+            UNOPENED_AVOID_TIME
+        };
+        self.homes.avoid(home, span, now);
         self.choose_homes(now, true);
         let affected = self
             .clients
@@ -308,14 +317,22 @@
             .map(|session| session.id)
             .collect::<Vec<_>>();
         for client in affected {
-            self.lose_forwarded(client, now);
+            let has_run = self
+                .client(client)
+                .and_then(ClientSession::open_transaction)
+                .is_some_and(|open| open.has_run);
+            if was_open || has_run {
+                self.lose_forwarded(client, now);
+            } else {
+                self.requeue(client, now);
+            }
         }
     }
 
     /// A home leaves: new statements and transactions go elsewhere, those under way end there.
     pub(crate) fn leave_home(&mut self, home: &str, now: MonoTime) {
         info!("home_leaving instance={home}");
-        self.homes.avoid(home, now);
+        self.homes.avoid(home, AVOID_TIME, now);
         self.choose_homes(now, true);
     }
 
--- a/crates/gateway/src/homes.rs
+++ b/crates/gateway/src/homes.rs
@@ -47,9 +47,9 @@
     }
 
     /// Leaves an instance out for a while.
-    pub fn avoid(&mut self, instance: &str, now: MonoTime) {
+    pub fn avoid(&mut self, instance: &str, span: Duration, now: MonoTime) {
         self.avoided.retain(|(known, _)| known != instance);
-        self.avoided.push((instance.to_string(), now + AVOID_TIME));
+        self.avoided.push((instance.to_string(), now + span));
     }
 
     /// The address of an instance.
@@ -73,9 +73,12 @@
     }
 }
 
+/// Time for which an instance to which no link could be opened is left out; it may be starting.
+pub(crate) const UNOPENED_AVOID_TIME: Duration = Duration::from_millis(500);
+
 /// Time for which an instance that was lost or is leaving is left out; about that of its stop and
 /// restart, or until its lease ends.
-const AVOID_TIME: Duration = Duration::from_secs(4);
+pub(crate) const AVOID_TIME: Duration = Duration::from_secs(4);
 
 /// Rank of an instance for a group; the lowest is the home. The chance to have it is proportional to
 /// the capacity (weighted rendezvous hashing).
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -89,7 +89,7 @@
     fn finish_start(&mut self, place: ConnectionPlace, answer: &TargetAnswer, now: MonoTime) {
         let id = place.connection;
         let backoff = self.settings.limit_backoff;
-        let surplus_pause = self.settings.surplus_pause;
+        let surplus_pause = self.settings.limit_surplus_pause;
         let Some(lane) = self.groups[place.group.0].lane_mut(place.target) else {
             return;
         };
@@ -99,7 +99,7 @@
                 lane.entry.group, lane.entry.target
             );
             lane.open_after = now + backoff;
-            lane.surplus_after = now + surplus_pause;
+            lane.surplus_after = lane.surplus_after.max(now + surplus_pause);
             if *code == TargetCode::WrongTarget {
                 lane.open_failures += 1;
             }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -56,8 +56,10 @@
     pub surplus_idle: Duration,
     /// Time without new connections to a target after it reported its limit.
     pub limit_backoff: Duration,
-    /// Time without connections beyond the share after a target reported its limit, and after the start
-    /// of the instance: connections of dead instances linger for 3 s.
+    /// Time without connections beyond the share after a target reported its limit.
+    pub limit_surplus_pause: Duration,
+    /// Time without connections beyond the share after the start of the instance: connections of dead
+    /// instances linger for 3 s.
     pub surplus_pause: Duration,
     /// How long a client's session waits for the first configuration; clients give up after 2 s.
     pub start_patience: Duration,
@@ -123,6 +125,7 @@
             max_opening: 2,
             surplus_idle: Duration::from_millis(1_000),
             limit_backoff: Duration::from_millis(300),
+            limit_surplus_pause: Duration::from_millis(800),
             surplus_pause: Duration::from_millis(3_500),
             start_patience: Duration::from_millis(1_500),
             min_answer_wait: Duration::from_millis(250),
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -619,7 +619,10 @@
         let is_frozen = self.frozen_until[to].since(self.now) > Duration::from_millis(900);
         let link = (instance, to);
         if self.is_cut(instance, to) || is_frozen {
-            let lost = GatewayEvent::HomeLost(home.to_string());
+            let lost = GatewayEvent::HomeLost {
+                home: home.to_string(),
+                was_open: true,
+            };
             self.tell(instance, lost, 900);
             // The link ends: nothing more comes over it, and the home ends its sessions.
             let number = self.link_numbers.entry(link).or_insert(0);
--- a/crates/runner/src/link_table.rs
+++ b/crates/runner/src/link_table.rs
@@ -85,9 +85,9 @@
                 ended
             }
             LinkEvent::HomeSent(home, body) => take_home_frame(home, body),
-            LinkEvent::HomeEnded(home) => {
+            LinkEvent::HomeEnded { home, was_open } => {
                 self.homes.retain(|(known, _)| *known != home);
-                vec![GatewayEvent::HomeLost(home)]
+                vec![GatewayEvent::HomeLost { home, was_open }]
             }
         }
     }
--- a/crates/runner/src/links.rs
+++ b/crates/runner/src/links.rs
@@ -54,8 +54,13 @@
     Ended(LinkId),
     /// A frame came from a home.
     HomeSent(String, FrameBody),
-    /// The link to a home ended or could not be opened.
-    HomeEnded(String),
+    /// The link to a home ended.
+    HomeEnded {
+        /// The home.
+        home: String,
+        /// Whether it had been opened; otherwise nothing was sent.
+        was_open: bool,
+    },
 }
 
 /// Accepts links until the listener fails.
@@ -113,7 +118,7 @@
                     }
                 }
                 Some(Err(error)) => {
-                    warn!("link_frame_unusable error={error:?}");
+                    info!("link_failed error={error:?}");
                     break;
                 }
                 None => break,
@@ -135,26 +140,36 @@
     mut outgoing: UnboundedReceiver<FrameBody>,
     events: UnboundedSender<RunnerEvent>,
 ) {
-    if let Err(error) = home_link(&home, address, &mut outgoing, &events).await {
+    let opened = open_link(address).await;
+    let was_open = opened.is_ok();
+    let result = match opened {
+        Ok(stream) => home_link(&home, stream, &mut outgoing, &events).await,
+        Err(error) => Err(error),
+    };
+    if let Err(error) = result {
         info!("home_link_ended home={home} address={address} error={error:?}");
     }
-    let ended = LinkEvent::HomeEnded(home);
+    let ended = LinkEvent::HomeEnded { home, was_open };
     if events.send(RunnerEvent::Link(ended)).is_err() {
         debug!("home_link_ended_after_stop");
     }
 }
 
-async fn home_link(
-    home: &str,
-    address: SocketAddr,
-    outgoing: &mut UnboundedReceiver<FrameBody>,
-    events: &UnboundedSender<RunnerEvent>,
-) -> Result<(), String> {
+async fn open_link(address: SocketAddr) -> Result<TcpStream, String> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_| "connecting timed out".to_string())?
         .map_err(|error| error.to_string())?;
     set_socket_options(&stream);
+    Ok(stream)
+}
+
+async fn home_link(
+    home: &str,
+    stream: TcpStream,
+    outgoing: &mut UnboundedReceiver<FrameBody>,
+    events: &UnboundedSender<RunnerEvent>,
+) -> Result<(), String> {
     let mut frames = framed(stream);
     // Since when frames have been sent without anything coming back.
     let mut waiting_since: Option<Instant> = None;
