Avoid targets that fail what they are asked

Ruled out: statements that are wrong themselves (other targets served them).

Change: each target has a smoothed failure rate; from 20% on reads avoid it while another target can serve them; a failed read is tried at up to three different targets.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -277,7 +277,7 @@
             attempts: 0,
             failures: 0,
             not_before: now,
-            lagging: Vec::new(),
+            avoided: Vec::new(),
             term,
             is_at_primary: false,
             stage: RequestStage::Queued,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -230,13 +230,14 @@
         let own = session.position;
         let complete = session.evidence_from().unwrap_or(now);
         let required = state.required_position(complete, own);
+        let faulty = self.faulty_targets(state, now);
         let views = state
             .targets()
             .map(|(i, lane)| {
                 let is_primary = state.primary == Some(i);
                 // Without a proved position only the primary can serve.
                 let is_unproved = !is_primary && required.is_none();
-                let is_out = is_unproved || request.is_lagging(i, now);
+                let is_out = is_unproved || request.is_avoided(i, now) || faulty.contains(&i);
                 self.view(state, i, lane, demand, is_out, now)
             })
             .collect::<Vec<_>>();
@@ -268,6 +269,18 @@
         }
     }
 
+    /// Targets that fail too many statements; none if all do, so that a group is never emptied.
+    fn faulty_targets(&self, state: &DatabaseGroup, now: MonoTime) -> Vec<TargetIndex> {
+        let limit = self.settings.faulty_rate;
+        let is_faulty = |lane: &TargetLane| lane.failure_rate.value(now) >= limit;
+        let faulty = state.targets().filter(|(_, lane)| is_faulty(lane));
+        let faulty = faulty.map(|(i, _)| i).collect::<Vec<_>>();
+        if faulty.len() == state.targets().count() {
+            return Vec::new();
+        }
+        faulty
+    }
+
     /// Whether a group without a primary gets none soon, as the store does not grant the duty.
     fn is_hopeless(&self, state: &DatabaseGroup, now: MonoTime) -> bool {
         let limit = self.settings.leaderless_limit;
--- a/crates/gateway/src/lane.rs
+++ b/crates/gateway/src/lane.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use heatherhollow_limits::FailureRate;
 use heatherhollow_limits::SmoothedTime;
 use heatherhollow_types::MonoTime;
 use heatherhollow_types::TermNumber;
@@ -191,6 +192,8 @@
     pub connections: Vec<TargetConnection>,
     pub control: VecDeque<ControlJob>,
     pub statement_time: SmoothedTime,
+    /// Share of statements that failed.
+    pub failure_rate: FailureRate,
     /// No new connection before this time.
     pub open_after: MonoTime,
     /// No connection beyond the share before this time.
@@ -220,6 +223,7 @@
             connections: Vec::new(),
             control: VecDeque::new(),
             statement_time: SmoothedTime::default(),
+            failure_rate: FailureRate::default(),
             open_after: MonoTime::ZERO,
             surplus_after: MonoTime::ZERO,
             open_failures: 0,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -178,6 +178,8 @@
         };
         if let Some(lane) = self.groups[place.group.0].lane_mut(place.target) {
             lane.statement_time.record(now.since(sent_at), now);
+            let has_failed = answer.error() == Some(&TargetCode::Failed);
+            lane.failure_rate.record(has_failed, now);
         }
         if !answer.is_success() {
             self.fail_statement(place, client, answer, now);
@@ -379,8 +381,9 @@
             code,
             TargetCode::Busy | TargetCode::Lagging | TargetCode::ReadOnly | TargetCode::NoStatement
         );
-        // A failed read may succeed elsewhere; it is offered to one other target.
-        let is_repeatable = request.kind == RequestKind::Read && request.attempts < 2;
+        // A failed read may succeed elsewhere.
+        let is_repeatable = request.kind == RequestKind::Read
+            && request.failures + 1 < self.settings.max_failed_targets;
         let may_retry = has_not_run || (is_repeatable && *code == TargetCode::Failed);
         if may_retry && !has_run {
             self.statistics.retried(retry_reason(code));
@@ -504,13 +507,18 @@
     ) {
         let backoff = self.settings.busy_backoff;
         let lag_backoff = self.settings.lag_backoff;
+        let failed_backoff = self.settings.failed_backoff;
         let Some(request) = self.client_mut(client).and_then(|s| s.request.as_mut()) else {
             return;
         };
         match code {
             Some(TargetCode::Lagging) => {
-                request.lagging.retain(|(lagging, _)| *lagging != target);
-                request.lagging.push((target, now + lag_backoff));
+                request.avoided.retain(|(avoided, _)| *avoided != target);
+                request.avoided.push((target, now + lag_backoff));
+            }
+            Some(TargetCode::Failed) => {
+                request.avoided.push((target, now + failed_backoff));
+                request.failures += 1;
             }
             Some(TargetCode::Busy | TargetCode::ReadOnly) => request.not_before = now + backoff,
             _ => {
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -72,8 +72,9 @@
     pub failures: u32,
     /// Not offered to a target before this time.
     pub not_before: MonoTime,
-    /// Targets that lacked its position, each with the time until which they are not tried again.
-    pub lagging: Vec<(TargetIndex, MonoTime)>,
+    /// Targets that lacked its position or failed it, each with the time until which they are not tried
+    /// again.
+    pub avoided: Vec<(TargetIndex, MonoTime)>,
     /// Term of the primary that it was sent to.
     pub term: TermNumber,
     /// Whether it was sent to the primary of that term.
@@ -82,11 +83,11 @@
 }
 
 impl ClientRequest {
-    /// Whether a target lacked its position a short time ago.
-    pub fn is_lagging(&self, target: TargetIndex, now: MonoTime) -> bool {
-        self.lagging
+    /// Whether a target is not to be tried again yet.
+    pub fn is_avoided(&self, target: TargetIndex, now: MonoTime) -> bool {
+        self.avoided
             .iter()
-            .any(|(lagging, until)| *lagging == target && now < *until)
+            .any(|(avoided, until)| *avoided == target && now < *until)
     }
 
     /// When its time limit passes.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -40,6 +40,13 @@
     /// Time between two observations of a group that is in use. Less than half of the staleness bounds
     /// in use, 1.5 s and more, so that replicas that lag by as much as the rest stay usable.
     pub observe_interval: Duration,
+    /// Share of failed statements from which a target counts as faulty, above what statements that are
+    /// wrong themselves make up. Reads go elsewhere as long as another target can serve them.
+    pub faulty_rate: f64,
+    /// Targets at which a read that failed is tried.
+    pub max_failed_targets: u32,
+    /// Time before a read that failed at a target may go to it again; longer than any time limit.
+    pub failed_backoff: Duration,
     /// Time after which a read that no target seems fresh enough for is tried at an idle replica: the
     /// estimate of its lag may be too high, and the replica checks the position.
     pub try_lagging_after: Duration,
@@ -118,6 +125,9 @@
             },
             monitor: MonitorSettings::default(),
             observe_interval: Duration::from_millis(650),
+            faulty_rate: 0.2,
+            max_failed_targets: 3,
+            failed_backoff: Duration::from_secs(60),
             try_lagging_after: Duration::from_millis(60),
             probe_interval: Duration::from_millis(300),
             status_timeout: Duration::from_millis(400),
--- a/crates/gateway/tests/statements.rs
+++ b/crates/gateway/tests/statements.rs
@@ -489,3 +489,29 @@
     assert_eq!(desk.setup.last(), Some(&TargetCall::Rollback));
     assert!(desk.gateway.is_quiet());
 }
+
+/// A target that fails what it is asked does not attract reads by its speed: a failed read is tried at
+/// another one, and later reads avoid it.
+#[test]
+fn failing_target_is_avoided() {
+    let mut desk = Desk::new("own");
+    desk.send(Statement::Read);
+    let faulty = desk.waiting_target();
+    for _ in 0..10 {
+        if desk.waiting.is_empty() {
+            desk.send(Statement::Read);
+        }
+        let answer = if desk.waiting_target() == faulty {
+            failure(TargetCode::Failed, SessionState::Idle)
+        } else {
+            success("row", "sig", SessionState::Idle)
+        };
+        let told = desk.answer(answer);
+        assert!(
+            code(told).is_none(),
+            "a read that another target can serve failed"
+        );
+    }
+    desk.send(Statement::Read);
+    assert_ne!(desk.waiting_target(), faulty);
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -3,12 +3,14 @@
 //! All of it is decision logic: time comes in, choices come out. One [`ConnectionPool`] and one
 //! [`AdmissionQueue`] stand in front of each target that an instance holds connections to.
 
+mod failure_rate;
 mod pool;
 mod queue;
 mod retry;
 mod smooth;
 mod window;
 
+pub use failure_rate::FailureRate;
 pub use pool::ConnectionPool;
 pub use pool::PoolChoice;
 pub use pool::PoolCounts;
