Log where statements were sent; gather store changes for 400 ms

Cause: a line about a statement in doubt named neither the target nor the home that had it.

Change: sent_to= in the lines of refused, failed and doubtful statements; the pause after changes that are not urgent goes from 250 to 400 ms.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -278,6 +278,7 @@
             failures: 0,
             not_before: now,
             avoided: Vec::new(),
+            sent_to: "none".to_string(),
             term,
             is_at_primary: false,
             stage: RequestStage::Queued,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -363,10 +363,11 @@
         let state = &mut self.groups[place.group.0];
         let is_primary = state.primary == Some(place.target);
         let term = state.term;
-        let Some(connection) = state
-            .lane_mut(place.target)
-            .and_then(|lane| lane.connection_mut(id))
-        else {
+        let Some(lane) = state.lane_mut(place.target) else {
+            return;
+        };
+        let target = lane.entry.target.clone();
+        let Some(connection) = lane.connection_mut(id) else {
             return;
         };
         let Some(client) = connection.holder.filter(|_| connection.calls.is_empty()) else {
@@ -421,6 +422,7 @@
         };
         request.stage = RequestStage::Sent(id);
         request.sent_at = now;
+        request.sent_to = target;
         request.term = term;
         request.is_at_primary = is_primary;
         let query = request.query.clone();
@@ -541,10 +543,11 @@
         if let Some(inputs) = inputs {
             info!(
                 "statement_refused id={} client={client} reason={reason} waited_ms={} \
-                 attempts={} database={} {inputs}",
+                 attempts={} sent_to={} database={} {inputs}",
                 request.query.id,
                 now.since(request.received_at).as_millis(),
                 request.attempts,
+                request.sent_to,
                 request.route.database
             );
         }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -205,6 +205,7 @@
             serial,
         };
         request.sent_at = now;
+        request.sent_to.clone_from(&home);
         request.attempts += 1;
         let previous = session.last_home.replace(home.clone());
         let query = ForwardedQuery {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -427,10 +427,11 @@
         if may_log {
             info!(
                 "statement_failed id={} client={client} code={code} took_ms={} attempts={} \
-                 connection={id}",
+                 sent_to={} connection={id}",
                 request.query.id,
                 now.since(request.received_at).as_millis(),
-                request.attempts
+                request.attempts,
+                request.sent_to
             );
         }
         let is_commit = request.kind == RequestKind::Commit;
@@ -722,9 +723,11 @@
         };
         if may_log {
             info!(
-                "statement_in_doubt id={} client={client} reason={reason} took_ms={} term={}",
+                "statement_in_doubt id={} client={client} reason={reason} took_ms={} sent_to={} \
+                 term={}",
                 request.query.id,
                 now.since(request.received_at).as_millis(),
+                request.sent_to,
                 request.term
             );
         }
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -75,6 +75,8 @@
     /// Targets that lacked its position or failed it, each with the time until which they are not tried
     /// again.
     pub avoided: Vec<(TargetIndex, MonoTime)>,
+    /// Target or home that it was last sent to, for log lines.
+    pub sent_to: String,
     /// Term of the primary that it was sent to.
     pub term: TermNumber,
     /// Whether it was sent to the primary of that term.
--- a/crates/runner/src/watch.rs
+++ b/crates/runner/src/watch.rs
@@ -32,7 +32,7 @@
 /// Pause before the next call after changes that are not urgent. Instances that start together and
 /// configurations that follow one another then cost one call instead of one each; a configuration has
 /// seconds to come into force.
-const GATHER_PAUSE: Duration = Duration::from_millis(250);
+const GATHER_PAUSE: Duration = Duration::from_millis(400);
 
 /// Watches the store and reports what changes.
 pub struct StoreWatch {
