Avoid targets that hang; use idle replicas before waiting for busy ones

A replica with good health hung on statements; given-up answers did not count in its statement time, so it stayed the cheapest choice, and reads bound themselves to it while its connections were all out.

Ruled out: lag (50 ms), limits of connections (none refused).

Change: a given-up answer counts as a failure and with its time, and the read goes elsewhere; a read whose cheapest target has no idle connection uses an idle replica.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -256,7 +256,13 @@
             return Placement::Target(target);
         }
         match choice {
-            RouteChoice::Go(target) => Placement::Target(target),
+            // The cheapest target may have no connection free while another one has.
+            RouteChoice::Go(target) => {
+                let has_idle = |lane: &TargetLane| lane.any_idle().is_some();
+                let is_free = state.lane(target).is_some_and(has_idle);
+                let other = idle_replica(state, &views).filter(|_| !is_free);
+                Placement::Target(other.unwrap_or(target))
+            }
             RouteChoice::WaitFor { .. } => Placement::Wait,
             RouteChoice::Refuse {
                 reason: RefusalReason::DeadlinePassed,
@@ -657,11 +663,19 @@
             let sent_at = self
                 .client(client)
                 .and_then(|s| Some(s.request.as_ref()?.sent_at));
-            if let Some(lane) = self.groups[place.group.0].lane_mut(place.target)
-                && lane.answered_at < sent_at
-            {
-                // Nothing at all has come from the target since: others are tried first.
-                lane.rest_until = now + rest;
+            if let Some(lane) = self.groups[place.group.0].lane_mut(place.target) {
+                lane.failure_rate.record(true, now);
+                if let Some(sent_at) = sent_at {
+                    lane.statement_time.record(now.since(sent_at), now);
+                }
+                if lane.answered_at < sent_at {
+                    // Nothing at all has come from the target since: others are tried first.
+                    lane.rest_until = now + rest;
+                }
+            }
+            let avoided_until = now + self.settings.failed_backoff;
+            if let Some(request) = self.client_mut(client).and_then(|s| s.request.as_mut()) {
+                request.avoided.push((place.target, avoided_until));
             }
             self.close_connection(connection);
             self.end_unanswered(client, false, now);
--- a/crates/gateway/tests/statements.rs
+++ b/crates/gateway/tests/statements.rs
@@ -515,3 +515,50 @@
     desk.send(Statement::Read);
     assert_ne!(desk.waiting_target(), faulty);
 }
+
+/// A target that hangs on some statements is not preferred for the short times of those that it
+/// answers: reads that it was given run elsewhere, and later ones avoid it.
+#[test]
+fn hanging_target_is_avoided() {
+    let mut desk = Desk::new("own");
+    let other = ClientId(2);
+    desk.tell(GatewayEvent::ClientOpened(other));
+    desk.tell(GatewayEvent::ClientStart {
+        client: other,
+        database: "own".to_string(),
+    });
+    desk.send(Statement::Read);
+    let hanging = desk.waiting_target();
+    desk.answer(success("row", "sig", SessionState::Idle));
+    let mut hung = 0;
+    for _ in 0..12 {
+        // The other client's read keeps the target from looking silent.
+        for (client, id) in [(CLIENT, "hangs"), (other, "runs")] {
+            desk.tell(GatewayEvent::ClientQuery {
+                client,
+                query: ClientQuery {
+                    id: id.to_string(),
+                    text: "READ item".to_string(),
+                    statement: Statement::Read,
+                },
+            });
+        }
+        for _ in 0..20 {
+            desk.pass(20);
+            let calls = std::mem::take(&mut desk.waiting);
+            for (connection, target, call) in calls {
+                let is_hung = matches!(&call, TargetCall::Forward { id, .. } if id == "hangs");
+                if is_hung && target == hanging {
+                    hung += 1;
+                    continue;
+                }
+                let answer = success("row", "sig", SessionState::Idle);
+                desk.tell(GatewayEvent::TargetAnswered { connection, answer });
+            }
+        }
+    }
+    assert!(
+        (1..=4).contains(&hung),
+        "the hanging target got {hung} of 12 reads"
+    );
+}
