--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -15,7 +15,6 @@
 use crate::message::ClientCode;
 use crate::message::ClientId;
 use crate::message::ClientQuery;
-use crate::message::SessionState;
 use crate::session::ClientRequest;
 use crate::session::ClientSession;
 use crate::session::OpenTransaction;
@@ -112,10 +111,11 @@
             return;
         };
         session.active_at = now;
-        if session.database.is_none() || !Self::push_query(&mut session.inbox, query, limit) {
+        if session.database.is_none() || session.inbox.len() >= limit {
             self.reject_malformed(id, ClientCode::Malformed);
             return;
         }
+        session.inbox.push_back(query);
         self.advance_client(id, now);
     }
 
@@ -393,9 +393,4 @@
             }
         }
     }
-
-    /// State of a client's session; used by the programs for their metrics.
-    pub fn session_state(&self, client: ClientId) -> Option<SessionState> {
-        self.client(client).map(ClientSession::state)
-    }
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -1,6 +1,5 @@
 //! The gateway: takes events, keeps the state, returns actions.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -132,11 +131,6 @@
         })
     }
 
-    /// Number of open client sessions.
-    pub fn session_count(&self) -> usize {
-        self.clients.len()
-    }
-
     /// Takes an event and returns what to do.
     pub fn handle(&mut self, event: GatewayEvent, now: MonoTime) -> Vec<GatewayAction> {
         match event {
@@ -179,7 +173,7 @@
             GatewayEvent::Forwarded { client, query } => {
                 self.take_forwarded(client, *query, now);
             }
-            GatewayEvent::ForwardedRollback(client) => self.roll_back_forwarded(client, now),
+            GatewayEvent::ForwardedRollback(client) => self.end_transaction(client, now),
             GatewayEvent::StopRequested => {
                 info!("stop_requested sessions={}", self.clients.len());
                 self.is_stopping = true;
@@ -474,19 +468,6 @@
         self.log_budget.lines += 1;
         true
     }
-
-    /// Inbox of a client, for tests of its bound.
-    pub(crate) fn push_query(
-        inbox: &mut VecDeque<crate::message::ClientQuery>,
-        query: crate::message::ClientQuery,
-        limit: usize,
-    ) -> bool {
-        if inbox.len() >= limit {
-            return false;
-        }
-        inbox.push_back(query);
-        true
-    }
 }
 
 /// Time between ticks while something waits; a quarter of the smallest time limit in use.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -5,16 +5,9 @@
 //! the order is by expected completion (arrival plus objective), so short operations go ahead and no
 //! route starves.
 
-use std::time::Duration;
-
 use log::info;
 use log::trace;
 
-use heatherhollow_routing::RouteChoice;
-use heatherhollow_routing::RouteQuery;
-use heatherhollow_routing::TargetView;
-use heatherhollow_routing::choose_route;
-use heatherhollow_session::ReadRequirement;
 use heatherhollow_types::MonoTime;
 use heatherhollow_types::RefusalReason;
 use heatherhollow_types::TargetIndex;
@@ -22,17 +15,16 @@
 use crate::action::GatewayAction;
 use crate::core::SessionGateway;
 use crate::forward::HomeMessage;
-use crate::group::DatabaseGroup;
 use crate::group::GroupIndex;
 use crate::group::index_of;
 use crate::lane::CallPurpose;
 use crate::lane::ConnectionId;
 use crate::lane::ControlPurpose;
 use crate::lane::PendingCall;
-use crate::lane::TargetLane;
 use crate::message::ClientCode;
 use crate::message::ClientId;
 use crate::message::TargetCall;
+use crate::placement::Placement;
 use crate::session::ClientSession;
 use crate::session::RequestKind;
 use crate::session::RequestStage;
@@ -40,30 +32,6 @@
 use crate::statement::Statement;
 use crate::statistics::LatencyKind;
 
-/// Time assumed for a statement at a target that has not answered any yet.
-const DEFAULT_STATEMENT_TIME: Duration = Duration::from_millis(10);
-
-/// Longest wait for a replica that is about to have the session's position.
-const MAX_REPLICA_WAIT: Duration = Duration::from_millis(150);
-
-/// Part of the time limit after which a statement is refused while its group has no primary; the rest
-/// is for the answer to reach the client.
-const LEADERLESS_FRACTION: f64 = 0.95;
-
-/// Age up to which a replica is considered for a read of the present state. The position that such a
-/// read asks for decides; this only keeps the router from leaving out all replicas.
-const MIN_ROUTE_AGE: Duration = Duration::from_secs(1);
-
-/// Part of the time limit after which the answer of a home counts as lost.
-const FORWARD_FRACTION: f64 = 1.25;
-
-/// Where a waiting statement goes.
-enum Placement {
-    Target(TargetIndex),
-    Wait,
-    Refuse(RefusalReason),
-}
-
 impl SessionGateway {
     /// Lends idle connections to waiting statements and opens connections that are missing.
     pub(crate) fn dispatch(&mut self, group: GroupIndex, now: MonoTime) {
@@ -112,7 +80,7 @@
 
     /// Asks replicas that have not answered for a while for their position, if reads wait: they may be
     /// fresh enough although others lag.
-    fn probe_for_reads(&mut self, group: GroupIndex, now: MonoTime) {
+    pub(crate) fn probe_for_reads(&mut self, group: GroupIndex, now: MonoTime) {
         let has_waiting_read = self.groups[group.0].queue.iter().any(|client| {
             self.client(*client)
                 .is_some_and(|session| !session.is_writing())
@@ -138,7 +106,7 @@
         self.send_control(group, now);
     }
 
-    fn open_wanted(
+    pub(crate) fn open_wanted(
         &mut self,
         group: GroupIndex,
         target: TargetIndex,
@@ -196,146 +164,7 @@
         }
     }
 
-    fn place_request(
-        &self,
-        group: GroupIndex,
-        session: &ClientSession,
-        demand: &[usize],
-        now: MonoTime,
-    ) -> Placement {
-        let state = &self.groups[group.0];
-        let Some(request) = &session.request else {
-            return Placement::Wait;
-        };
-        if now < request.not_before {
-            return Placement::Wait;
-        }
-        let is_isolated = state.is_isolated(self.settings.isolation_limit, now);
-        if is_isolated && session.needs_primary() {
-            return Placement::Refuse(RefusalReason::Unreachable);
-        }
-        let primary = usable_primary(state, now, self.settings.leaving_limit);
-        if let Some(target) = primary.filter(|_| session.needs_primary()) {
-            return Placement::Target(target);
-        }
-        if session.is_writing() {
-            return if self.is_hopeless(state, now) {
-                Placement::Refuse(RefusalReason::NoPrimary)
-            } else {
-                Placement::Wait
-            };
-        }
-        // Without a primary, a read of the present state can run at a replica that has every commit
-        // that any target held after the read began.
-        let own = session.position;
-        let complete = session.evidence_from().unwrap_or(now);
-        let required = state.required_position(complete, own);
-        let faulty = self.faulty_targets(state, now);
-        let views = state
-            .targets()
-            .map(|(i, lane)| {
-                let is_primary = state.primary == Some(i);
-                // Without a proved position only the primary can serve.
-                let is_unproved = !is_primary && required.is_none();
-                let is_out = is_unproved || request.is_avoided(i, now) || faulty.contains(&i);
-                self.view(state, i, lane, demand, is_out, now)
-            })
-            .collect::<Vec<_>>();
-        let query = RouteQuery {
-            requirement: required.map_or(ReadRequirement::None, ReadRequirement::AtLeast),
-            max_age: request.route.freshness.max_age().max(MIN_ROUTE_AGE),
-            max_wait: MAX_REPLICA_WAIT,
-            deadline: request.deadline(),
-        };
-        let choice = choose_route(&query, &views, &state.tracker, &self.settings.policy, now);
-        let waited = now.since(request.received_at);
-        if !matches!(choice, RouteChoice::Go(_))
-            && waited >= self.settings.try_lagging_after
-            && let Some(target) = idle_replica(state, &views)
-        {
-            return Placement::Target(target);
-        }
-        match choice {
-            // The cheapest target may have no connection free while another one has.
-            RouteChoice::Go(target) => {
-                let has_idle = |lane: &TargetLane| lane.any_idle().is_some();
-                let is_free = state.lane(target).is_some_and(has_idle);
-                let other = idle_replica(state, &views).filter(|_| !is_free);
-                Placement::Target(other.unwrap_or(target))
-            }
-            RouteChoice::WaitFor { .. } => Placement::Wait,
-            RouteChoice::Refuse {
-                reason: RefusalReason::DeadlinePassed,
-                ..
-            } => Placement::Refuse(RefusalReason::DeadlinePassed),
-            RouteChoice::Refuse { .. } if is_isolated && required.is_none() => {
-                Placement::Refuse(RefusalReason::Unreachable)
-            }
-            RouteChoice::Refuse { .. } => Placement::Wait,
-        }
-    }
-
-    /// Targets that fail too many statements; none if all do, so that a group is never emptied.
-    fn faulty_targets(&self, state: &DatabaseGroup, now: MonoTime) -> Vec<TargetIndex> {
-        let limit = self.settings.faulty_rate;
-        let is_faulty = |lane: &TargetLane| lane.failure_rate.value(now) >= limit;
-        let faulty = state.targets().filter(|(_, lane)| is_faulty(lane));
-        let faulty = faulty.map(|(i, _)| i).collect::<Vec<_>>();
-        if faulty.len() == state.targets().count() {
-            return Vec::new();
-        }
-        faulty
-    }
-
-    /// Whether a group without a primary gets none soon, as the store does not grant the duty.
-    fn is_hopeless(&self, state: &DatabaseGroup, now: MonoTime) -> bool {
-        let limit = self.settings.leaderless_limit;
-        let is_long = state
-            .leaderless_since
-            .or(state.suspicion.suspected_since())
-            .is_some_and(|since| now.since(since) >= limit);
-        let is_refused = self
-            .duty_unavailable_at
-            .is_some_and(|at| now.since(at) < limit + self.settings.promotion_backoff);
-        is_long && is_refused
-    }
-
-    fn view(
-        &self,
-        state: &DatabaseGroup,
-        target: TargetIndex,
-        lane: &TargetLane,
-        demand: &[usize],
-        is_unfit: bool,
-        now: MonoTime,
-    ) -> TargetView {
-        let is_primary = state.primary == Some(target);
-        let in_flight = lane.in_use() + demand[target.as_usize()];
-        let is_out = lane.is_unreachable() || now < lane.rest_until || is_unfit;
-        let is_unusable_primary =
-            is_primary && usable_primary(state, now, self.settings.leaving_limit).is_none();
-        let share = state.share(self.holders(state)).max(lane.connections.len());
-        let measured = lane.statement_time.value(now);
-        TargetView {
-            target,
-            is_primary,
-            is_leaving: lane.is_leaving(),
-            is_suspected: is_out || is_unusable_primary,
-            is_remote: self.identity.is_remote(&lane.entry.data_centre),
-            // The measured time of a statement includes the way.
-            round_trip: Duration::ZERO,
-            in_flight: u32::try_from(in_flight).unwrap_or(u32::MAX),
-            reads_in_flight: u32::try_from(in_flight).unwrap_or(u32::MAX),
-            slots: u32::try_from(share).unwrap_or(u32::MAX),
-            statement_time: if measured.is_zero() {
-                DEFAULT_STATEMENT_TIME
-            } else {
-                measured
-            },
-        }
-    }
-
-    fn lend(
+    pub(crate) fn lend(
         &mut self,
         group: GroupIndex,
         connection: ConnectionId,
@@ -590,7 +419,7 @@
 
     /// What decided about a request, for its log line: version of the declarations, term, position asked
     /// for, and for each target its role, connections in use, lag and the age of its last report.
-    fn describe_inputs(&self, client: ClientId, now: MonoTime) -> String {
+    pub(crate) fn describe_inputs(&self, client: ClientId, now: MonoTime) -> String {
         let Some(session) = self.client(client) else {
             return String::new();
         };
@@ -633,148 +462,4 @@
         }
         text
     }
-
-    /// Refuses queued requests whose time is up, and ends those that targets do not answer.
-    pub(crate) fn expire_requests(&mut self, now: MonoTime) {
-        self.expire_transactions(now);
-        let due = self
-            .clients
-            .iter()
-            .filter(|session| self.is_due(session, now))
-            .map(|session| session.id)
-            .collect::<Vec<_>>();
-        for client in due {
-            self.expire_request(client, now);
-        }
-        self.expire_answers(now);
-    }
-
-    /// Gives up answers that were probably lost: the target is slow beyond what is usual for it, and
-    /// the statement can run again since it only reads or its transaction is rolled back.
-    fn expire_answers(&mut self, now: MonoTime) {
-        let late = self
-            .clients
-            .iter()
-            .filter_map(|session| Some((session.id, self.late_connection(session, now)?)))
-            .collect::<Vec<_>>();
-        for (client, connection) in late {
-            if self.may_log(now) {
-                info!("answer_given_up client={client} connection={connection}");
-            }
-            let Some(place) = self.place(connection) else {
-                continue;
-            };
-            let rest = self.settings.status_timeout;
-            let sent_at = self
-                .client(client)
-                .and_then(|s| Some(s.request.as_ref()?.sent_at));
-            if let Some(lane) = self.groups[place.group.0].lane_mut(place.target) {
-                lane.failure_rate.record(true, now);
-                if let Some(sent_at) = sent_at {
-                    lane.statement_time.record(now.since(sent_at), now);
-                }
-                if lane.answered_at < sent_at {
-                    // Nothing at all has come from the target since: others are tried first.
-                    lane.rest_until = now + rest;
-                }
-            }
-            let avoided_until = now + self.settings.failed_backoff;
-            if let Some(request) = self.client_mut(client).and_then(|s| s.request.as_mut()) {
-                request.avoided.push((place.target, avoided_until));
-            }
-            self.close_connection(connection);
-            self.end_unanswered(client, false, now);
-        }
-    }
-
-    /// The connection on which the answer to a repeatable statement is overdue.
-    fn late_connection(&self, session: &ClientSession, now: MonoTime) -> Option<ConnectionId> {
-        let request = session.request.as_ref()?;
-        let RequestStage::Sent(connection) = request.stage else {
-            return None;
-        };
-        let is_repeatable = match request.kind {
-            RequestKind::Read => true,
-            RequestKind::Write => session.open_transaction().is_some(),
-            RequestKind::Commit => false,
-        };
-        let place = self.place(connection).filter(|_| is_repeatable)?;
-        let lane = self.groups[place.group.0].lane(place.target)?;
-        let usual = lane.statement_time.value(now) * self.settings.answer_wait_factor;
-        let limit = usual.max(self.settings.min_answer_wait);
-        (now.since(request.sent_at) >= limit).then_some(connection)
-    }
-
-    fn is_due(&self, session: &ClientSession, now: MonoTime) -> bool {
-        let Some(request) = &session.request else {
-            return false;
-        };
-        let fraction = match request.stage {
-            RequestStage::Queued if self.groups[request.group.0].primary.is_none() => {
-                LEADERLESS_FRACTION
-            }
-            RequestStage::Queued => self.settings.queue_fraction,
-            // The home ends it in time; this is for an answer that does not come.
-            RequestStage::Forwarded { .. } => FORWARD_FRACTION,
-            _ => 1.0,
-        };
-        now >= request.received_at + request.route.timeout.mul_f64(fraction)
-    }
-
-    fn expire_request(&mut self, client: ClientId, now: MonoTime) {
-        let Some(request) = self.client(client).and_then(|s| s.request.as_ref()) else {
-            return;
-        };
-        let has_primary = self.groups[request.group.0].primary.is_some();
-        match request.stage.clone() {
-            RequestStage::Queued => {
-                let reason = if has_primary {
-                    RefusalReason::QueueTimeout
-                } else {
-                    RefusalReason::NoPrimary
-                };
-                let text = "no connection became free in time";
-                self.refuse_request(client, ClientCode::Busy, reason, text, now);
-            }
-            RequestStage::Preparing(connection) | RequestStage::Sent(connection) => {
-                self.close_connection(connection);
-                self.end_unanswered(client, true, now);
-            }
-            RequestStage::Forwarded { home, .. } => {
-                self.tell_home(client, &home, HomeMessage::End);
-                self.end_unanswered(client, true, now);
-            }
-            RequestStage::Held { .. } => {
-                self.end_unproved(client, now);
-            }
-        }
-    }
-}
-
-/// A replica with an idle connection among those that can be used.
-fn idle_replica(state: &DatabaseGroup, views: &[TargetView]) -> Option<TargetIndex> {
-    views
-        .iter()
-        .filter(|view| !view.is_primary && !view.is_leaving && !view.is_suspected)
-        .filter(|view| {
-            let lane = state.lane(view.target);
-            lane.is_some_and(|lane| lane.any_idle().is_some())
-        })
-        .min_by_key(|view| (view.in_flight, view.is_remote))
-        .map(|view| view.target)
-}
-
-/// The known primary, if statements can be sent to it.
-fn usable_primary(
-    state: &DatabaseGroup,
-    now: MonoTime,
-    leaving_limit: Duration,
-) -> Option<TargetIndex> {
-    let target = state.primary?;
-    let lane = state.lane(target)?;
-    let is_late = lane
-        .leaving_since
-        .is_some_and(|since| now.since(since) > leaving_limit);
-    let is_out = lane.must_confirm || now < lane.rest_until || is_late;
-    (!is_out && state.suspicion.suspected_since().is_none()).then_some(target)
 }
--- /dev/null
+++ b/crates/gateway/src/expiry.rs
@@ -0,0 +1,147 @@
+//! Statements whose time is up.
+//!
+//! Load that this answers: targets and homes that do not answer, and queues that do not drain. A
+//! statement is refused while that can still be true; one that may have run is in doubt.
+
+use log::info;
+
+use heatherhollow_types::MonoTime;
+use heatherhollow_types::RefusalReason;
+
+use crate::core::SessionGateway;
+use crate::forward::HomeMessage;
+use crate::lane::ConnectionId;
+use crate::message::ClientCode;
+use crate::message::ClientId;
+use crate::session::ClientSession;
+use crate::session::RequestKind;
+use crate::session::RequestStage;
+
+/// Part of the time limit after which a statement is refused while its group has no primary; the rest
+/// is for the answer to reach the client.
+const LEADERLESS_FRACTION: f64 = 0.95;
+
+/// Part of the time limit after which the answer of a home counts as lost.
+const FORWARD_FRACTION: f64 = 1.25;
+
+impl SessionGateway {
+    /// Refuses queued requests whose time is up, and ends those that targets do not answer.
+    pub(crate) fn expire_requests(&mut self, now: MonoTime) {
+        self.expire_transactions(now);
+        let due = self
+            .clients
+            .iter()
+            .filter(|session| self.is_due(session, now))
+            .map(|session| session.id)
+            .collect::<Vec<_>>();
+        for client in due {
+            self.expire_request(client, now);
+        }
+        self.expire_answers(now);
+    }
+
+    /// Gives up answers that were probably lost: the target is slow beyond what is usual for it, and
+    /// the statement can run again since it only reads or its transaction is rolled back.
+    pub(crate) fn expire_answers(&mut self, now: MonoTime) {
+        let late = self
+            .clients
+            .iter()
+            .filter_map(|session| Some((session.id, self.late_connection(session, now)?)))
+            .collect::<Vec<_>>();
+        for (client, connection) in late {
+            if self.may_log(now) {
+                info!("answer_given_up client={client} connection={connection}");
+            }
+            let Some(place) = self.place(connection) else {
+                continue;
+            };
+            let rest = self.settings.status_timeout;
+            let sent_at = self
+                .client(client)
+                .and_then(|s| Some(s.request.as_ref()?.sent_at));
+            if let Some(lane) = self.groups[place.group.0].lane_mut(place.target) {
+                lane.failure_rate.record(true, now);
+                if let Some(sent_at) = sent_at {
+                    lane.statement_time.record(now.since(sent_at), now);
+                }
+                if lane.answered_at < sent_at {
+                    // Nothing at all has come from the target since: others are tried first.
+                    lane.rest_until = now + rest;
+                }
+            }
+            let avoided_until = now + self.settings.failed_backoff;
+            if let Some(request) = self.client_mut(client).and_then(|s| s.request.as_mut()) {
+                request.avoided.push((place.target, avoided_until));
+            }
+            self.close_connection(connection);
+            self.end_unanswered(client, false, now);
+        }
+    }
+
+    /// The connection on which the answer to a repeatable statement is overdue.
+    pub(crate) fn late_connection(
+        &self,
+        session: &ClientSession,
+        now: MonoTime,
+    ) -> Option<ConnectionId> {
+        let request = session.request.as_ref()?;
+        let RequestStage::Sent(connection) = request.stage else {
+            return None;
+        };
+        let is_repeatable = match request.kind {
+            RequestKind::Read => true,
+            RequestKind::Write => session.open_transaction().is_some(),
+            RequestKind::Commit => false,
+        };
+        let place = self.place(connection).filter(|_| is_repeatable)?;
+        let lane = self.groups[place.group.0].lane(place.target)?;
+        let usual = lane.statement_time.value(now) * self.settings.answer_wait_factor;
+        let limit = usual.max(self.settings.min_answer_wait);
+        (now.since(request.sent_at) >= limit).then_some(connection)
+    }
+
+    pub(crate) fn is_due(&self, session: &ClientSession, now: MonoTime) -> bool {
+        let Some(request) = &session.request else {
+            return false;
+        };
+        let fraction = match request.stage {
+            RequestStage::Queued if self.groups[request.group.0].primary.is_none() => {
+                LEADERLESS_FRACTION
+            }
+            RequestStage::Queued => self.settings.queue_fraction,
+            // The home ends it in time; this is for an answer that does not come.
+            RequestStage::Forwarded { .. } => FORWARD_FRACTION,
+            _ => 1.0,
+        };
+        now >= request.received_at + request.route.timeout.mul_f64(fraction)
+    }
+
+    pub(crate) fn expire_request(&mut self, client: ClientId, now: MonoTime) {
+        let Some(request) = self.client(client).and_then(|s| s.request.as_ref()) else {
+            return;
+        };
+        let has_primary = self.groups[request.group.0].primary.is_some();
+        match request.stage.clone() {
+            RequestStage::Queued => {
+                let reason = if has_primary {
+                    RefusalReason::QueueTimeout
+                } else {
+                    RefusalReason::NoPrimary
+                };
+                let text = "no connection became free in time";
+                self.refuse_request(client, ClientCode::Busy, reason, text, now);
+            }
+            RequestStage::Preparing(connection) | RequestStage::Sent(connection) => {
+                self.close_connection(connection);
+                self.end_unanswered(client, true, now);
+            }
+            RequestStage::Forwarded { home, .. } => {
+                self.tell_home(client, &home, HomeMessage::End);
+                self.end_unanswered(client, true, now);
+            }
+            RequestStage::Held { .. } => {
+                self.end_unproved(client, now);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -180,7 +180,7 @@
     /// Sends the present request of a client to a home.
     pub(crate) fn forward(&mut self, client: ClientId, home: String, now: MonoTime) {
         let Some(address) = self.homes.address(&home) else {
-            self.lose_forwarded(client, now);
+            self.end_unanswered(client, false, now);
             return;
         };
         self.next_serial += 1;
@@ -353,7 +353,7 @@
                 .and_then(ClientSession::open_transaction)
                 .is_some_and(|open| open.has_run);
             if was_open || has_run {
-                self.lose_forwarded(client, now);
+                self.end_unanswered(client, false, now);
             } else {
                 self.requeue(client, now);
             }
@@ -367,11 +367,6 @@
         self.choose_homes(now, true);
     }
 
-    /// Ends or places again what a client had at a home that is gone.
-    pub(crate) fn lose_forwarded(&mut self, client: ClientId, now: MonoTime) {
-        self.end_unanswered(client, false, now);
-    }
-
     /// Takes a statement that another instance forwarded.
     pub(crate) fn take_forwarded(
         &mut self,
@@ -409,15 +404,4 @@
         session.forwarded_route = Some(forwarded.route);
         self.take_query(client, forwarded.query, now);
     }
-
-    /// Ends the transaction of a forwarded session.
-    pub(crate) fn roll_back_forwarded(&mut self, client: ClientId, now: MonoTime) {
-        self.end_transaction(client, now);
-    }
-
-    /// Whether a session was forwarded by another instance.
-    pub fn is_forwarded(&self, client: ClientId) -> bool {
-        self.client(client)
-            .is_some_and(|session: &ClientSession| session.is_forwarded)
-    }
 }
--- /dev/null
+++ b/crates/gateway/src/losses.rs
@@ -0,0 +1,234 @@
+//! Connections that are given back, rolled back, closed or lost, and what clients hear of it.
+
+use log::info;
+
+use heatherhollow_failover::FailureKind;
+use heatherhollow_types::FailureReason;
+use heatherhollow_types::MonoTime;
+use heatherhollow_types::RefusalReason;
+use heatherhollow_types::RetryReason;
+use heatherhollow_types::TargetIndex;
+use heatherhollow_types::UnknownReason;
+
+use crate::action::ConnectError;
+use crate::action::GatewayAction;
+use crate::core::SessionGateway;
+use crate::group::GroupIndex;
+use crate::lane::CallPurpose;
+use crate::lane::ConnectionId;
+use crate::lane::ConnectionPhase;
+use crate::message::ClientCode;
+use crate::message::ClientId;
+use crate::message::SessionState;
+use crate::message::TargetCall;
+use crate::session::RequestKind;
+use crate::session::RequestStage;
+use crate::session::SessionTransaction;
+
+impl SessionGateway {
+    /// Puts a connection back into its pool.
+    pub(crate) fn release(&mut self, id: ConnectionId, now: MonoTime) {
+        if let Some(connection) = self.connection_mut(id) {
+            connection.holder = None;
+            connection.in_transaction = false;
+            connection.idle_since = now;
+        }
+    }
+
+    pub(crate) fn release_or_close(
+        &mut self,
+        id: ConnectionId,
+        state: SessionState,
+        now: MonoTime,
+    ) {
+        if state == SessionState::Idle {
+            self.release(id, now);
+        } else {
+            self.close_connection(id);
+        }
+    }
+
+    /// Rolls back what is open on a connection and frees it.
+    pub(crate) fn roll_back(&mut self, id: ConnectionId, now: MonoTime) {
+        let Some(connection) = self.connection_mut(id) else {
+            return;
+        };
+        if !connection.calls.is_empty() {
+            self.close_connection(id);
+        } else if connection.in_transaction {
+            connection.holder = None;
+            self.call(id, CallPurpose::Rollback, TargetCall::Rollback, now);
+        } else {
+            self.release(id, now);
+        }
+    }
+
+    /// Closes a connection whose client has been dealt with.
+    pub(crate) fn close_connection(&mut self, id: ConnectionId) {
+        if self.remove_connection(id).is_some() {
+            self.actions.push(GatewayAction::CloseTarget(id));
+        }
+    }
+
+    /// Closes a connection and ends what runs on it.
+    pub(crate) fn drop_connection(&mut self, id: ConnectionId, now: MonoTime) {
+        self.actions.push(GatewayAction::CloseTarget(id));
+        self.lose_connection(id, ConnectError::Closed, now);
+    }
+
+    /// Closes all connections to a target.
+    pub(crate) fn close_lane(&mut self, group: GroupIndex, target: TargetIndex, now: MonoTime) {
+        let ids = self.groups[group.0]
+            .lane(target)
+            .map(|lane| lane.connections.iter().map(|c| c.id).collect::<Vec<_>>())
+            .unwrap_or_default();
+        for id in ids {
+            self.drop_connection(id, now);
+        }
+    }
+
+    /// A connection could not be opened, or ended.
+    pub(crate) fn lose_connection(&mut self, id: ConnectionId, error: ConnectError, now: MonoTime) {
+        let Some(place) = self.place(id) else { return };
+        let Some(connection) = self.remove_connection(id) else {
+            return;
+        };
+        let kind = match error {
+            ConnectError::Refused => FailureKind::Refused,
+            ConnectError::TimedOut => FailureKind::TimedOut,
+            ConnectError::Closed => FailureKind::ConnectionLost,
+        };
+        let state = &mut self.groups[place.group.0];
+        if state.primary == Some(place.target) {
+            state.monitor.probe_failed(now, kind);
+            if connection.phase != ConnectionPhase::Ready {
+                state.monitor.fresh_failed(connection.began_at, kind);
+            }
+        }
+        if let Some(lane) = state.lane_mut(place.target) {
+            if connection.phase == ConnectionPhase::Ready {
+                lane.must_confirm = true;
+            } else {
+                lane.open_failures += 1;
+                lane.open_after = now + open_backoff(lane.open_failures);
+            }
+            if lane.open_failures <= 1 {
+                info!(
+                    "connection_lost group={} target={} error={error:?} phase={:?}",
+                    lane.entry.group, lane.entry.target, connection.phase
+                );
+            }
+        }
+        for call in &connection.calls {
+            if let CallPurpose::Control(purpose) = call.purpose {
+                self.fail_control(place.group, place.target, purpose, now);
+            }
+        }
+        if let Some(client) = connection.holder {
+            self.end_unanswered(client, false, now);
+        }
+    }
+
+    /// Ends the request of a client whose connection is gone. With `is_late` its time limit passed.
+    pub(crate) fn end_unanswered(&mut self, client: ClientId, is_late: bool, now: MonoTime) {
+        let Some(session) = self.client_mut(client) else {
+            return;
+        };
+        let open = session.open_transaction().cloned();
+        let Some(request) = &session.request else {
+            if open.is_some() {
+                session.transaction = SessionTransaction::Failed { is_told: false };
+            }
+            return;
+        };
+        let (kind, stage) = (request.kind, request.stage.clone());
+        let has_run = open.as_ref().is_some_and(|open| open.has_run);
+        let has_written = open.as_ref().is_some_and(|open| open.has_written);
+        let is_sent = matches!(
+            stage,
+            RequestStage::Sent(_) | RequestStage::Forwarded { .. }
+        );
+        match (stage, open.is_some()) {
+            // The connection had already been given back.
+            (RequestStage::Queued, _) | (RequestStage::Held { .. }, false) => {}
+            (RequestStage::Held { .. }, true) => self.abort_transaction(client, now),
+            (_, false) if kind == RequestKind::Write && is_sent => {
+                let reason = lost_reason(is_late);
+                self.put_in_doubt(client, reason, now);
+            }
+            (_, true) if kind == RequestKind::Commit && is_sent && has_written => {
+                let reason = lost_reason(is_late);
+                self.put_in_doubt(client, reason, now);
+            }
+            (_, _) if has_run || (kind == RequestKind::Commit && is_sent) => {
+                self.abort_transaction(client, now);
+            }
+            (_, is_open) if is_late => {
+                let code = if is_sent && !is_open {
+                    ClientCode::Timeout
+                } else {
+                    ClientCode::Busy
+                };
+                let text = "the target did not answer in time";
+                let reason = RefusalReason::DeadlinePassed;
+                self.refuse_request(client, code, reason, text, now);
+            }
+            _ => {
+                self.statistics.retried(RetryReason::ConnectionLost);
+                if let Some(request) = self.client_mut(client).and_then(|s| s.request.as_mut()) {
+                    request.failures += 1;
+                }
+                self.requeue(client, now);
+            }
+        }
+    }
+
+    /// Tells a client that its transaction was rolled back; its connection is rolled back or closed.
+    pub(crate) fn abort_transaction(&mut self, client: ClientId, now: MonoTime) {
+        self.statistics.failed(FailureReason::RolledBack);
+        let reason = RefusalReason::TransactionLost;
+        let text = "the transaction was rolled back";
+        self.refuse_request(client, ClientCode::Aborted, reason, text, now);
+    }
+
+    /// Tells a client that its write or commit may have taken effect.
+    pub(crate) fn put_in_doubt(&mut self, client: ClientId, reason: UnknownReason, now: MonoTime) {
+        self.statistics.unknown(reason);
+        let may_log = self.may_log(now);
+        let Some(session) = self.client_mut(client) else {
+            return;
+        };
+        session.has_doubt = true;
+        session.transaction = SessionTransaction::None;
+        let Some(request) = session.request.take() else {
+            return;
+        };
+        if may_log {
+            info!(
+                "statement_in_doubt id={} client={client} reason={reason} took_ms={} sent_to={} \
+                 term={}",
+                request.query.id,
+                now.since(request.received_at).as_millis(),
+                request.sent_to,
+                request.term
+            );
+        }
+        let text = "the outcome is not known";
+        self.refuse_locally(client, ClientCode::InDoubt, text);
+        self.advance_client(client, now);
+    }
+}
+
+fn lost_reason(is_late: bool) -> UnknownReason {
+    if is_late {
+        UnknownReason::DeadlinePassed
+    } else {
+        UnknownReason::ConnectionLost
+    }
+}
+
+/// Time before a connection is tried again after so many failures in a row.
+fn open_backoff(failures: u32) -> std::time::Duration {
+    let factor = 1_u32 << failures.min(4);
+    std::time::Duration::from_millis(25) * factor
+}
--- a/crates/gateway/src/promotion.rs
+++ b/crates/gateway/src/promotion.rs
@@ -23,13 +23,10 @@
 use crate::action::DutyRefusal;
 use crate::action::DutyToken;
 use crate::action::GatewayAction;
-use crate::action::OrderReply;
 use crate::catalog::TargetRole;
 use crate::core::DutyState;
 use crate::core::SessionGateway;
-use crate::group::DatabaseGroup;
 use crate::group::GroupIndex;
-use crate::lane::CallPurpose;
 use crate::lane::ControlPurpose;
 use crate::message::StatusReport;
 use crate::message::TargetCall;
@@ -51,7 +48,7 @@
 
 /// What a run is to do once it has the duty.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum PromotionPlan {
+pub(crate) enum PromotionPlan {
     /// Replace a primary that does not answer.
     Replace,
     /// Have a leaving primary step down and replace it.
@@ -62,7 +59,7 @@
 
 /// Step of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum PromotionStep {
+pub(crate) enum PromotionStep {
     /// Asks every target for its status.
     Survey,
     /// Waits for the duty.
@@ -83,7 +80,7 @@
 
 /// What a target has said in the present step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum TargetReply {
+pub(crate) enum TargetReply {
     Waiting,
     Report(StatusReport),
     Failed,
@@ -92,30 +89,30 @@
 /// A run of a promotion.
 #[derive(Debug)]
 pub(crate) struct PromotionRun {
-    cause: PromotionCause,
-    plan: PromotionPlan,
-    step: PromotionStep,
-    step_at: MonoTime,
-    began_at: MonoTime,
+    pub cause: PromotionCause,
+    pub plan: PromotionPlan,
+    pub step: PromotionStep,
+    pub step_at: MonoTime,
+    pub began_at: MonoTime,
     /// Term that was known when the run began.
-    old_term: TermNumber,
+    pub old_term: TermNumber,
     /// Term for which targets are paused.
-    fence: TermNumber,
+    pub fence: TermNumber,
     /// Replies of the present step, by target index.
-    replies: Vec<(TargetIndex, TargetReply)>,
+    pub replies: Vec<(TargetIndex, TargetReply)>,
     /// The call that the present step makes; answers to calls of earlier steps may still come.
-    call: TargetCall,
+    pub call: TargetCall,
     /// End of the log of a primary that has stepped down.
-    stepped_down: Option<(TargetIndex, GroupPosition)>,
-    paused: Vec<TargetIndex>,
-    chosen: Option<TargetIndex>,
+    pub stepped_down: Option<(TargetIndex, GroupPosition)>,
+    pub paused: Vec<TargetIndex>,
+    pub chosen: Option<TargetIndex>,
     /// What the run came to, once it only resumes targets.
-    outcome: &'static str,
-    polled_at: MonoTime,
+    pub outcome: &'static str,
+    pub polled_at: MonoTime,
 }
 
 impl PromotionRun {
-    fn new(cause: PromotionCause, term: TermNumber, now: MonoTime) -> Self {
+    pub fn new(cause: PromotionCause, term: TermNumber, now: MonoTime) -> Self {
         Self {
             cause,
             plan: PromotionPlan::Replace,
@@ -134,7 +131,7 @@
         }
     }
 
-    fn enter(&mut self, step: PromotionStep, targets: Vec<TargetIndex>, now: MonoTime) {
+    pub fn enter(&mut self, step: PromotionStep, targets: Vec<TargetIndex>, now: MonoTime) {
         self.step = step;
         self.step_at = now;
         self.polled_at = now;
@@ -144,20 +141,20 @@
             .collect();
     }
 
-    fn record(&mut self, target: TargetIndex, reply: TargetReply) {
+    pub fn record(&mut self, target: TargetIndex, reply: TargetReply) {
         if let Some(entry) = self.replies.iter_mut().find(|(i, _)| *i == target) {
             entry.1 = reply;
         }
     }
 
-    fn is_answered(&self) -> bool {
+    pub fn is_answered(&self) -> bool {
         !self
             .replies
             .iter()
             .any(|(_, reply)| *reply == TargetReply::Waiting)
     }
 
-    fn reports(&self) -> impl Iterator<Item = (TargetIndex, StatusReport)> {
+    pub fn reports(&self) -> impl Iterator<Item = (TargetIndex, StatusReport)> {
         self.replies.iter().filter_map(|(i, reply)| match reply {
             TargetReply::Report(report) => Some((*i, *report)),
             _ => None,
@@ -166,10 +163,7 @@
 }
 
 /// Poll interval while a step waits for a state of a target; about a round trip between regions.
-const POLL_INTERVAL: Duration = Duration::from_millis(30);
-
-/// Longest wait for a replica to have the log of a primary that stepped down.
-const CATCH_UP_LIMIT: Duration = Duration::from_millis(300);
+pub(crate) const POLL_INTERVAL: Duration = Duration::from_millis(30);
 
 /// Greatest delay by which instances start the same promotion apart, so that one of them usually has
 /// the duty before the others ask.
@@ -187,7 +181,11 @@
         self.drive_promotion(group, now);
     }
 
-    fn promotion_cause(&self, group: GroupIndex, now: MonoTime) -> Option<PromotionCause> {
+    pub(crate) fn promotion_cause(
+        &self,
+        group: GroupIndex,
+        now: MonoTime,
+    ) -> Option<PromotionCause> {
         let state = &self.groups[group.0];
         let is_settled = self
             .listed_since
@@ -228,7 +226,12 @@
         is_forgotten.then_some(PromotionCause::ForgottenPause)
     }
 
-    fn begin_promotion(&mut self, group: GroupIndex, cause: PromotionCause, now: MonoTime) {
+    pub(crate) fn begin_promotion(
+        &mut self,
+        group: GroupIndex,
+        cause: PromotionCause,
+        now: MonoTime,
+    ) {
         let state = &mut self.groups[group.0];
         info!(
             "promotion_considered group={} cause={cause:?} term={} primary={}",
@@ -251,7 +254,7 @@
     }
 
     /// Goes on with a plan once the duty is held.
-    fn acquire_duty(&mut self, group: GroupIndex, plan: PromotionPlan, now: MonoTime) {
+    pub(crate) fn acquire_duty(&mut self, group: GroupIndex, plan: PromotionPlan, now: MonoTime) {
         if let Some(run) = &mut self.groups[group.0].promotion {
             run.plan = plan;
             run.enter(PromotionStep::Duty, Vec::new(), now);
@@ -266,7 +269,7 @@
         }
     }
 
-    fn carry_out(&mut self, group: GroupIndex, now: MonoTime) {
+    pub(crate) fn carry_out(&mut self, group: GroupIndex, now: MonoTime) {
         let Some(run) = &self.groups[group.0].promotion else {
             return;
         };
@@ -315,12 +318,12 @@
         }
     }
 
-    fn all_targets(&self, group: GroupIndex) -> Vec<TargetIndex> {
+    pub(crate) fn all_targets(&self, group: GroupIndex) -> Vec<TargetIndex> {
         self.groups[group.0].targets().map(|(i, _)| i).collect()
     }
 
     /// Enters a step that makes one call to each of some targets.
-    fn enter_step(
+    pub(crate) fn enter_step(
         &mut self,
         group: GroupIndex,
         step: PromotionStep,
@@ -368,7 +371,7 @@
         }
     }
 
-    fn drive_promotion(&mut self, group: GroupIndex, now: MonoTime) {
+    pub(crate) fn drive_promotion(&mut self, group: GroupIndex, now: MonoTime) {
         let limit = self.settings.promotion_step;
         let effect = self.settings.promotion_effect;
         let Some(run) = &self.groups[group.0].promotion else {
@@ -408,7 +411,7 @@
     }
 
     /// Decides after the survey.
-    fn decide(&mut self, group: GroupIndex, now: MonoTime) {
+    pub(crate) fn decide(&mut self, group: GroupIndex, now: MonoTime) {
         let state = &self.groups[group.0];
         let Some(run) = &state.promotion else { return };
         let newest = run.reports().map(|(_, report)| report.term).max();
@@ -455,7 +458,7 @@
 
     /// Whether a target that does not answer the survey has answered anything lately, such as a refusal
     /// for its limit of connections: then it is not dead, and may lead.
-    fn has_live_absentee(&self, group: GroupIndex, now: MonoTime) -> bool {
+    pub(crate) fn has_live_absentee(&self, group: GroupIndex, now: MonoTime) -> bool {
         let state = &self.groups[group.0];
         let Some(run) = &state.promotion else {
             return false;
@@ -468,7 +471,7 @@
     }
 
     /// Whether a target beside the leaving primary answers, stays and is nearly caught up.
-    fn has_successor(&self, group: GroupIndex, primary: TargetIndex) -> bool {
+    pub(crate) fn has_successor(&self, group: GroupIndex, primary: TargetIndex) -> bool {
         let state = &self.groups[group.0];
         let Some(run) = &state.promotion else {
             return false;
@@ -478,321 +481,6 @@
             target != primary && is_staying && report.lag <= SUCCESSOR_LAG
         })
     }
-
-    fn after_step_down(&mut self, group: GroupIndex, now: MonoTime) {
-        let Some(run) = &mut self.groups[group.0].promotion else {
-            return;
-        };
-        let stepped_down = run.reports().next();
-        if let Some((target, report)) = stepped_down {
-            if report.role == TargetRole::Primary {
-                self.give_up(group, "not_stepped_down", now);
-                return;
-            }
-            run.stepped_down = Some((target, report.received));
-        }
-        let targets = self.all_targets(group);
-        self.enter_step(
-            group,
-            PromotionStep::CatchUp,
-            targets,
-            TargetCall::Status,
-            now,
-        );
-    }
-
-    /// Waits for a staying replica to have the log of the old primary.
-    fn drive_catch_up(&mut self, group: GroupIndex, now: MonoTime) {
-        let state = &mut self.groups[group.0];
-        let Some(run) = &mut state.promotion else {
-            return;
-        };
-        let Some((old, end)) = run.stepped_down else {
-            self.pause_all(group, now);
-            return;
-        };
-        let caught_up = run
-            .reports()
-            .any(|(target, report)| target != old && report.received >= end);
-        if caught_up || now.since(run.step_at) >= CATCH_UP_LIMIT {
-            self.pause_all(group, now);
-            return;
-        }
-        if run.is_answered() && now.since(run.polled_at) >= POLL_INTERVAL {
-            run.polled_at = now;
-            let targets = run.replies.iter().map(|(i, _)| *i).collect::<Vec<_>>();
-            for target in targets {
-                state.control(target, ControlPurpose::Promotion, TargetCall::Status, now);
-            }
-        }
-    }
-
-    fn pause_all(&mut self, group: GroupIndex, now: MonoTime) {
-        let targets = self.all_targets(group);
-        let state = &mut self.groups[group.0];
-        let Some(run) = &mut state.promotion else {
-            return;
-        };
-        let old = run.stepped_down.map(|(target, _)| target);
-        let fenced = targets
-            .into_iter()
-            .filter(|target| Some(*target) != old)
-            .collect::<Vec<_>>();
-        run.paused.clone_from(&fenced);
-        let call = TargetCall::Pause(run.fence);
-        self.enter_step(group, PromotionStep::Pause, fenced, call, now);
-    }
-
-    /// Chooses the paused target with the longest log and orders its promotion.
-    fn choose_successor(&mut self, group: GroupIndex, now: MonoTime) {
-        let state = &self.groups[group.0];
-        let Some(run) = &state.promotion else { return };
-        let fenced = run
-            .reports()
-            .filter(|(_, report)| report.paused_for.is_some())
-            .collect::<Vec<_>>();
-        let newest = run.reports().map(|(_, report)| report.term).max();
-        if newest.is_some_and(|newest| newest > run.old_term && run.stepped_down.is_none()) {
-            self.give_up(group, "promoted_meanwhile", now);
-            return;
-        }
-        let known = fenced.len() + usize::from(run.stepped_down.is_some());
-        let needed = state.copies_quorum(now);
-        let is_short = known < needed;
-        let missing = run.replies.len() - fenced.len();
-        if is_short || missing > missing_limit(state, run) {
-            info!(
-                "targets_missing group={} fenced={} needed={needed} missing={missing}",
-                state.name,
-                fenced.len()
-            );
-            self.give_up(group, "targets_missing", now);
-            return;
-        }
-        // With all replicas paused, what only the old primary has was never acknowledged. Targets that
-        // are not listed now count too: they may have confirmed it.
-        let is_complete = state.is_synchronous() && fenced.len() + 1 >= state.size(now);
-        let end = run
-            .stepped_down
-            .map(|(_, end)| end)
-            .filter(|_| !is_complete);
-        let longest = fenced.iter().map(|(_, report)| report.received).max();
-        let Some(longest) = longest.filter(|longest| end.is_none_or(|end| *longest >= end)) else {
-            self.give_up(group, "successor_behind", now);
-            return;
-        };
-        let is_leaving = |target: TargetIndex| state.lane(target).is_none_or(|l| l.is_leaving());
-        let chosen = fenced
-            .iter()
-            .filter(|(_, report)| report.received == longest)
-            .min_by_key(|(target, report)| (is_leaving(*target), report.lag, *target))
-            .map(|(target, _)| *target);
-        let lane = chosen.and_then(|target| state.lane(target));
-        let (Some(chosen), Some(lane), Some(token)) = (chosen, lane, self.valid_token(now)) else {
-            self.give_up(group, "duty_lapsed", now);
-            return;
-        };
-        info!(
-            "promotion_ordered group={} target={} position={longest} fenced={} missing={missing} \
-             token={} after_ms={}",
-            state.name,
-            lane.entry.target,
-            fenced.len(),
-            token.number,
-            now.since(run.began_at).as_millis()
-        );
-        self.actions.push(GatewayAction::OrderPromotion {
-            group: state.name.clone(),
-            target: lane.entry.target.clone(),
-            token,
-        });
-        if let Some(run) = &mut self.groups[group.0].promotion {
-            run.chosen = Some(chosen);
-            run.enter(PromotionStep::Order, Vec::new(), now);
-        }
-    }
-
-    /// The platform answered an order.
-    pub(crate) fn take_order_reply(&mut self, group: &str, reply: OrderReply, now: MonoTime) {
-        let Some(i) = self.groups.iter().position(|state| state.name == group) else {
-            return;
-        };
-        info!("promotion_reply group={group} reply={reply:?}");
-        let Some(run) = &mut self.groups[i].promotion else {
-            return;
-        };
-        if run.step != PromotionStep::Order {
-            return;
-        }
-        match reply {
-            OrderReply::Accepted | OrderReply::Unknown => {
-                let chosen = run.chosen.into_iter().collect();
-                run.enter(PromotionStep::Confirm, chosen, now);
-                run.call = TargetCall::Status;
-            }
-            OrderReply::Rejected | OrderReply::NotSent => {
-                self.give_up(GroupIndex(i), "order_refused", now);
-            }
-        }
-    }
-
-    /// Waits for the chosen target to lead.
-    fn drive_confirm(&mut self, group: GroupIndex, effect: Duration, now: MonoTime) {
-        let state = &mut self.groups[group.0];
-        let Some(run) = &mut state.promotion else {
-            return;
-        };
-        let new_term = run
-            .reports()
-            .filter(|(_, report)| report.role == TargetRole::Primary)
-            .map(|(_, report)| report.term)
-            .find(|term| *term > run.old_term);
-        if let Some(term) = new_term {
-            self.resume_followers(group, term, effect, now);
-            return;
-        }
-        if now.since(run.step_at) >= effect {
-            self.end_promotion(group, "no_effect", now);
-            return;
-        }
-        if now.since(run.polled_at) >= POLL_INTERVAL {
-            run.polled_at = now;
-            if let Some(chosen) = run.chosen {
-                state.control(chosen, ControlPurpose::Promotion, TargetCall::Status, now);
-            }
-        }
-    }
-
-    /// Resumes the paused targets once they know the new term; before that they could take records of
-    /// the old primary.
-    fn resume_followers(
-        &mut self,
-        group: GroupIndex,
-        term: TermNumber,
-        effect: Duration,
-        now: MonoTime,
-    ) {
-        let state = &mut self.groups[group.0];
-        let Some(run) = &mut state.promotion else {
-            return;
-        };
-        let followers = run
-            .paused
-            .iter()
-            .copied()
-            .filter(|target| Some(*target) != run.chosen)
-            .collect::<Vec<_>>();
-        let is_polled = now.since(run.polled_at) >= POLL_INTERVAL;
-        let is_late = now.since(run.step_at) >= effect;
-        if is_polled {
-            run.polled_at = now;
-        }
-        let mut waits = false;
-        for target in followers {
-            let Some(lane) = state.lane(target) else {
-                continue;
-            };
-            let call = match lane.report {
-                Some((_, report)) if report.paused_for.is_none() && report.term >= term => continue,
-                Some((_, report)) if report.term >= term => TargetCall::Resume,
-                _ => TargetCall::Status,
-            };
-            waits = true;
-            if is_polled {
-                state.control(target, ControlPurpose::Promotion, call, now);
-            }
-        }
-        if !waits || is_late {
-            self.end_promotion(group, "done", now);
-        }
-    }
-
-    /// Resumes targets that report a pause and then ends the run.
-    fn resume_paused(&mut self, group: GroupIndex, outcome: &'static str, now: MonoTime) {
-        let paused = self.groups[group.0]
-            .targets()
-            .filter(|(_, lane)| {
-                lane.report
-                    .is_some_and(|(_, report)| report.paused_for.is_some())
-            })
-            .map(|(i, _)| i)
-            .collect::<Vec<_>>();
-        if let Some(run) = &mut self.groups[group.0].promotion {
-            run.outcome = outcome;
-        }
-        if paused.is_empty() || self.valid_token(now).is_none() {
-            self.end_promotion(group, outcome, now);
-            return;
-        }
-        self.enter_step(
-            group,
-            PromotionStep::Resume,
-            paused,
-            TargetCall::Resume,
-            now,
-        );
-    }
-
-    /// Ends a run before its order: what it paused is resumed first.
-    fn give_up(&mut self, group: GroupIndex, outcome: &'static str, now: MonoTime) {
-        self.resume_paused(group, outcome, now);
-    }
-
-    /// Drops the calls of a run that have not been sent or answered, so that none outlives the duty.
-    ///
-    /// The pauses of a run whose order is open stay, since a resumed target could take records of the
-    /// old primary; they are cleared as forgotten ones.
-    fn cancel_control(&mut self, group: GroupIndex, now: MonoTime) {
-        let mut unanswered = Vec::new();
-        for lane in self.groups[group.0].lanes.iter_mut().flatten() {
-            lane.control
-                .retain(|job| job.purpose != ControlPurpose::Promotion);
-            let purpose = CallPurpose::Control(ControlPurpose::Promotion);
-            unanswered.extend(
-                lane.connections
-                    .iter()
-                    .filter(|connection| {
-                        let mut fencing = connection.calls.iter().filter(|call| {
-                            call.purpose == purpose && call.control != Some(TargetCall::Status)
-                        });
-                        fencing.next().is_some()
-                    })
-                    .map(|connection| connection.id),
-            );
-        }
-        for connection in unanswered {
-            self.drop_connection(connection, now);
-        }
-    }
-
-    fn end_promotion(&mut self, group: GroupIndex, outcome: &str, now: MonoTime) {
-        let backoff = self.settings.promotion_backoff;
-        let state = &mut self.groups[group.0];
-        let Some(run) = state.promotion.take() else {
-            return;
-        };
-        let is_done = outcome == "done";
-        info!(
-            "promotion_ended group={} outcome={outcome} cause={:?} step={:?} took_ms={}",
-            state.name,
-            run.cause,
-            run.step,
-            now.since(run.began_at).as_millis()
-        );
-        state.promotion_after = now + backoff;
-        self.cancel_control(group, now);
-        self.statistics.promotion_ended(is_done);
-        self.give_back_duty();
-    }
-
-    /// Gives the duty back once no run needs it.
-    fn give_back_duty(&mut self) {
-        let is_needed = self.groups.iter().any(|group| group.promotion.is_some());
-        if !is_needed && matches!(self.duty, DutyState::Held(_)) {
-            self.duty = DutyState::None;
-            self.actions.push(GatewayAction::ReleaseDuty);
-        }
-    }
 }
 
 /// Time without any answer after which a target that does not answer a survey counts as dead.
@@ -811,13 +499,3 @@
 
 /// Validity that a token must have left when an order is given.
 const ORDER_MARGIN: Duration = Duration::from_millis(300);
-
-/// How many of the targets to be paused may miss. Without a primary that stepped down, the one that is
-/// missing is taken for the primary.
-fn missing_limit(state: &DatabaseGroup, run: &PromotionRun) -> usize {
-    if run.stepped_down.is_some() {
-        0
-    } else {
-        state.tolerated_missing()
-    }
-}
--- /dev/null
+++ b/crates/gateway/tests/support/faults.rs
@@ -0,0 +1,71 @@
+//! Faults of the played world.
+
+use std::time::Duration;
+
+use rand::RngExt;
+
+use super::Happening;
+use super::World;
+
+impl World {
+    pub(super) fn add_fault(&mut self) {
+        let at = self.random.random_range(3_000..7_500);
+        let length = self.random.random_range(300..4_000);
+        let instances = self.options.instances;
+        let target = self.random.random_range(0..3);
+        match self.random.random_range(0..7) {
+            5 => {
+                // The store loses a target's entry, and the target lives on behind it.
+                self.schedule(at, Happening::Unlist(target, true));
+                self.schedule(at + length * 2, Happening::Unlist(target, false));
+            }
+            0 => {
+                self.schedule(at, Happening::Crash(target, true));
+                self.schedule(at + length, Happening::Crash(target, false));
+            }
+            1 => {
+                // A target is cut off from the other targets.
+                let node = instances + target;
+                for other in (0..3).filter(|other| *other != target) {
+                    self.schedule(at, Happening::Cut(node, instances + other, true));
+                    self.schedule(at + length, Happening::Cut(node, instances + other, false));
+                }
+            }
+            2 => {
+                // A target is cut off from some instances.
+                let node = instances + target;
+                for instance in 0..instances {
+                    if self.random.random_bool(0.6) {
+                        self.schedule(at, Happening::Cut(instance, node, true));
+                        self.schedule(at + length, Happening::Cut(instance, node, false));
+                    }
+                }
+            }
+            3 => {
+                let instance = self.random.random_range(0..instances);
+                let until = self.now + Duration::from_millis(at + length);
+                self.schedule(at, Happening::Freeze(instance, until));
+            }
+            4 => {
+                let lag = Duration::from_millis(self.random.random_range(200..3_000));
+                self.schedule(at, Happening::SetLag(target, lag));
+                let usual = Duration::from_millis(15);
+                self.schedule(at + length, Happening::SetLag(target, usual));
+            }
+            _ => {
+                // Some instances and targets are split from the others.
+                let side = (0..instances + 3)
+                    .map(|_| self.random.random_bool(0.5))
+                    .collect::<Vec<_>>();
+                for a in 0..side.len() {
+                    for b in a + 1..side.len() {
+                        if side[a] != side[b] {
+                            self.schedule(at, Happening::Cut(a, b, true));
+                            self.schedule(at + length, Happening::Cut(a, b, false));
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/support/playing.rs
@@ -0,0 +1,253 @@
+//! Clients of the played world, and the comparison of what they were told with the final log.
+
+use std::collections::BTreeMap;
+
+use rand::RngExt;
+
+use heatherhollow_gateway::ClientAnswer;
+use heatherhollow_gateway::ClientCode;
+use heatherhollow_gateway::ClientId;
+use heatherhollow_gateway::ClientQuery;
+use heatherhollow_gateway::GatewayEvent;
+use heatherhollow_gateway::PreparedShape;
+use heatherhollow_gateway::SessionState;
+use heatherhollow_gateway::Statement;
+
+use super::BOUNDED_ROUTE;
+use super::Happening;
+use super::OWN_ROUTE;
+use super::PRIMARY_ROUTE;
+use super::SimClient;
+use super::World;
+use super::WriteOutcome;
+
+impl World {
+    pub(super) fn add_client(&mut self, i: usize) {
+        let routes = [PRIMARY_ROUTE, BOUNDED_ROUTE, OWN_ROUTE];
+        let client = SimClient {
+            instance: i % self.options.instances,
+            id: ClientId(i as u64),
+            route: routes[i % 3],
+            plan: Vec::new(),
+            outstanding: None,
+            began_at: self.now,
+            in_transaction: false,
+            writes: Vec::new(),
+            values: Vec::new(),
+            prepared: BTreeMap::new(),
+            own_commits: Vec::new(),
+            operations: 0,
+        };
+        let (instance, id, route) = (client.instance, client.id, client.route);
+        self.clients.push(client);
+        self.tell(instance, GatewayEvent::ClientOpened(id), 200);
+        let start = GatewayEvent::ClientStart {
+            client: id,
+            database: route.to_string(),
+        };
+        self.tell(instance, start, 201);
+        let pause = self.random.random_range(210..400);
+        self.schedule(pause, Happening::ClientStep(i));
+    }
+
+    pub(super) fn step_client(&mut self, i: usize) {
+        let now = self.now;
+        let client = &mut self.clients[i];
+        if client.outstanding.is_some() {
+            return;
+        }
+        if client.plan.is_empty() {
+            let n = client.operations;
+            client.operations += 1;
+            client.began_at = now;
+            client.writes.clear();
+            let id = |k: usize| format!("c{i}-{n}-{k}");
+            let kind = self.random.random_range(0..10);
+            let client = &mut self.clients[i];
+            let mut plan = Vec::new();
+            match kind {
+                0 => plan.push((
+                    id(0),
+                    Statement::Set {
+                        name: format!("v{}", n % 2),
+                        value: format!("x{i}-{n}"),
+                    },
+                )),
+                1 => {
+                    let shape = PreparedShape {
+                        is_write: n.is_multiple_of(2),
+                        text: format!("q{}", n % 3),
+                    };
+                    let name = "s1".to_string();
+                    plan.push((id(0), Statement::Prepare { name, shape }));
+                }
+                2 if client.prepared.contains_key("s1") => {
+                    let arguments = "item data".to_string();
+                    let name = "s1".to_string();
+                    plan.push((id(0), Statement::Execute { name, arguments }));
+                }
+                3..5 => {
+                    let is_read_only = kind == 4;
+                    plan.push((id(0), Statement::Begin { is_read_only }));
+                    plan.push((id(1), Statement::Read));
+                    if !is_read_only {
+                        plan.push((id(2), Statement::Write));
+                    }
+                    let end = if n.is_multiple_of(7) {
+                        Statement::Rollback
+                    } else {
+                        Statement::Commit
+                    };
+                    plan.push((id(3), end));
+                }
+                5..7 => plan.push((id(0), Statement::Write)),
+                _ => plan.push((id(0), Statement::Read)),
+            }
+            plan.reverse();
+            client.plan = plan;
+        }
+        let client = &mut self.clients[i];
+        let (id, statement) = client.plan.pop().expect("a plan has a statement");
+        let is_write = match &statement {
+            Statement::Write => true,
+            Statement::Execute { name, .. } => client.prepared[name].is_write,
+            _ => false,
+        };
+        let text = match &statement {
+            Statement::Write => "WRITE item data".to_string(),
+            Statement::Read => "READ item".to_string(),
+            Statement::Commit => "COMMIT".to_string(),
+            _ => String::new(),
+        };
+        if is_write {
+            client.writes.push(id.clone());
+            self.writes.insert(id.clone(), WriteOutcome::Pending);
+        }
+        let began_at = if client.in_transaction {
+            client.began_at
+        } else {
+            now
+        };
+        let route = client.route;
+        self.readers.insert(id.clone(), (i, began_at, route));
+        let client = &mut self.clients[i];
+        client.outstanding = Some((id.clone(), statement.clone()));
+        let (instance, client_id) = (client.instance, client.id);
+        let query = ClientQuery {
+            id,
+            text,
+            statement,
+        };
+        let event = GatewayEvent::ClientQuery {
+            client: client_id,
+            query,
+        };
+        self.tell(instance, event, 1);
+    }
+
+    pub(super) fn take_client_answer(&mut self, id: ClientId, answer: ClientAnswer) {
+        let now = self.now;
+        let i = id.0 as usize;
+        let client = &mut self.clients[i];
+        let Some((query, statement)) = client.outstanding.take() else {
+            // The answer to START.
+            return;
+        };
+        let is_stale = self.readers.remove(&format!("stale {query}")).is_some();
+        self.readers.remove(&query);
+        let client = &mut self.clients[i];
+        let was_open = client.in_transaction;
+        client.in_transaction = answer.state == SessionState::Transaction;
+        match &answer.end {
+            Ok(_) => {
+                self.served += 1;
+                if is_stale {
+                    self.violations
+                        .push(format!("stale read {query} was answered"));
+                }
+                let ended = matches!(statement, Statement::Commit)
+                    || (!was_open && !client.writes.is_empty());
+                match statement {
+                    Statement::Set { name, value } => {
+                        client.values.retain(|(known, _)| *known != name);
+                        client.values.push((name, value));
+                    }
+                    Statement::Prepare { name, shape } => {
+                        client.prepared.insert(name, shape);
+                    }
+                    Statement::Rollback => {
+                        for write in client.writes.drain(..) {
+                            self.writes.insert(write, WriteOutcome::NotKept);
+                        }
+                    }
+                    _ if ended => {
+                        self.longest_gap = self.longest_gap.max(now.since(self.last_ack));
+                        self.last_ack = now;
+                        for write in client.writes.drain(..) {
+                            client.own_commits.push(write.clone());
+                            self.acknowledged.push((now, write.clone()));
+                            self.writes.insert(write, WriteOutcome::Acknowledged);
+                        }
+                    }
+                    _ => {}
+                }
+            }
+            Err((code, _)) => {
+                self.refused += 1;
+                let outcome = match code {
+                    ClientCode::Busy
+                    | ClientCode::Aborted
+                    | ClientCode::Lagging
+                    | ClientCode::ReadOnly => WriteOutcome::NotKept,
+                    _ => WriteOutcome::Unknown,
+                };
+                if *code == ClientCode::InDoubt {
+                    self.in_doubt += 1;
+                }
+                for write in client.writes.drain(..) {
+                    self.writes.insert(write, outcome);
+                }
+                client.plan.clear();
+                if answer.state == SessionState::Failed {
+                    let rollback = (format!("{query}-r"), Statement::Rollback);
+                    client.plan.push(rollback);
+                }
+            }
+        }
+        let pause = self.random.random_range(5..60);
+        self.schedule(pause, Happening::ClientStep(i));
+    }
+
+    pub(super) fn check_final(&mut self) {
+        let Some(leader) = self
+            .targets
+            .iter()
+            .filter(|target| target.is_primary && target.is_alive)
+            .max_by_key(|target| target.term)
+        else {
+            return;
+        };
+        let count = |id: &str| {
+            let all = leader.log.iter().flat_map(|record| &record.ids);
+            all.filter(|known| *known == id).count()
+        };
+        for (id, outcome) in &self.writes {
+            let found = count(id);
+            if found > 1 {
+                self.violations
+                    .push(format!("write {id} took effect twice"));
+            }
+            match outcome {
+                WriteOutcome::Acknowledged if found == 0 => {
+                    self.violations
+                        .push(format!("acknowledged write {id} is lost"));
+                }
+                WriteOutcome::NotKept if found > 0 => {
+                    self.violations
+                        .push(format!("write {id} is kept in spite of a promise"));
+                }
+                _ => {}
+            }
+        }
+    }
+}
