Tell refused clients when to come back; refuse at once what cannot start

Change: errors for clients are a type with an optional time to come back, from the pace of the targets, the last failover or the state of the duty. A statement that cannot start before its limit, by the pace of its target and what waits before it, is refused at once.

--- a/crates/gateway/src/action.rs
+++ b/crates/gateway/src/action.rs
@@ -13,6 +13,7 @@
 use crate::lane::ConnectionId;
 use crate::message::ClientAnswer;
 use crate::message::ClientCode;
+use crate::message::ClientError;
 use crate::message::ClientId;
 use crate::message::ClientQuery;
 use crate::message::TargetAnswer;
@@ -172,10 +173,8 @@
     RejectClient {
         /// The client.
         client: ClientId,
-        /// Code.
-        code: ClientCode,
-        /// Text.
-        text: String,
+        /// Why.
+        error: ClientError,
     },
     /// Close a client's connection after what was sent.
     CloseClient(ClientId),
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -1,5 +1,7 @@
 //! Events of clients: sessions, local statements and the start of requests.
 
+use std::time::Duration;
+
 use log::info;
 
 use heatherhollow_types::FailureReason;
@@ -13,6 +15,7 @@
 use crate::forward::HomeMessage;
 use crate::message::ClientAnswer;
 use crate::message::ClientCode;
+use crate::message::ClientError;
 use crate::message::ClientId;
 use crate::message::ClientQuery;
 use crate::session::ClientRequest;
@@ -22,6 +25,7 @@
 use crate::session::RequestStage;
 use crate::session::SessionTransaction;
 use crate::statement::Statement;
+use crate::waiting::RETRY_ELSEWHERE;
 
 impl SessionGateway {
     pub(crate) fn open_client(&mut self, id: ClientId, now: MonoTime) {
@@ -48,8 +52,8 @@
                 return;
             }
             Some(false) => {
-                let text = "no route has this database";
-                self.reject_start(id, &database, ClientCode::UnknownDatabase, text, now);
+                let error = unknown_database();
+                self.reject_start(id, &database, error, now);
                 return;
             }
             Some(true) => {}
@@ -62,18 +66,15 @@
         &mut self,
         client: ClientId,
         database: &str,
-        code: ClientCode,
-        text: &str,
+        error: ClientError,
         now: MonoTime,
     ) {
         if self.may_log(now) {
+            let code = error.code;
             info!("session_refused client={client} database={database} code={code:?}");
         }
-        self.actions.push(GatewayAction::RejectClient {
-            client,
-            code,
-            text: text.to_string(),
-        });
+        self.actions
+            .push(GatewayAction::RejectClient { client, error });
     }
 
     /// Refuses sessions that have waited too long for the first configuration.
@@ -92,7 +93,11 @@
             .collect::<Vec<_>>();
         for (client, database) in late {
             let text = "no configuration has been read yet";
-            self.reject_start(client, &database, ClientCode::Busy, text, now);
+            let error = ClientError {
+                retry_after: Some(RETRY_ELSEWHERE),
+                ..ClientError::new(ClientCode::Busy, text)
+            };
+            self.reject_start(client, &database, error, now);
         }
     }
 
@@ -100,8 +105,7 @@
         info!("client_malformed client={client} code={code:?}");
         self.actions.push(GatewayAction::RejectClient {
             client,
-            code,
-            text: "the message cannot be read".to_string(),
+            error: ClientError::new(code, "the message cannot be read"),
         });
     }
 
@@ -190,8 +194,7 @@
             }
             Statement::Commit => {
                 session.transaction = SessionTransaction::None;
-                let text = "the transaction was rolled back";
-                self.refuse_locally(id, ClientCode::Aborted, text);
+                self.send_error(id, rolled_back());
             }
             _ if is_told => {
                 let text = "the transaction has failed; end it with a rollback";
@@ -199,8 +202,7 @@
             }
             _ => {
                 session.transaction = SessionTransaction::Failed { is_told: true };
-                let text = "the transaction was rolled back";
-                self.refuse_locally(id, ClientCode::Aborted, text);
+                self.send_error(id, rolled_back());
             }
         }
     }
@@ -228,11 +230,7 @@
 
     fn refuse_unknown(&mut self, id: ClientId) {
         self.statistics.refused(RefusalReason::UnknownService);
-        self.refuse_locally(
-            id,
-            ClientCode::UnknownDatabase,
-            "no route has this database",
-        );
+        self.send_error(id, unknown_database());
     }
 
     fn start_request(
@@ -336,13 +334,18 @@
 
     /// Answers a query with an error of the proxy itself; nothing of it was sent to a target.
     pub(crate) fn refuse_locally(&mut self, id: ClientId, code: ClientCode, text: &str) {
-        self.send_answer(id, Err((code, text.to_string())), None, Vec::new());
+        self.send_error(id, ClientError::new(code, text));
+    }
+
+    /// Answers a query with an error.
+    pub(crate) fn send_error(&mut self, id: ClientId, error: ClientError) {
+        self.send_answer(id, Err(error), None, Vec::new());
     }
 
     pub(crate) fn send_answer(
         &mut self,
         client: ClientId,
-        end: Result<Option<String>, (ClientCode, String)>,
+        end: Result<Option<String>, ClientError>,
         position: Option<GroupPosition>,
         rows: Vec<String>,
     ) {
@@ -394,3 +397,16 @@
         }
     }
 }
+
+fn unknown_database() -> ClientError {
+    ClientError::new(ClientCode::UnknownDatabase, "no route has this database")
+}
+
+/// Told with the next statement of a transaction that was rolled back while it rested; nothing stands
+/// in the way of another attempt.
+fn rolled_back() -> ClientError {
+    ClientError {
+        retry_after: Some(Duration::ZERO),
+        ..ClientError::new(ClientCode::Aborted, "the transaction was rolled back")
+    }
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -22,6 +22,7 @@
 use crate::lane::ControlPurpose;
 use crate::lane::PendingCall;
 use crate::message::ClientCode;
+use crate::message::ClientError;
 use crate::message::ClientId;
 use crate::message::TargetCall;
 use crate::placement::Placement;
@@ -54,8 +55,16 @@
             match self.place_request(group, session, &demand, now) {
                 Placement::Target(target) => {
                     let lane = self.groups[group.0].lane(target);
+                    let ahead = demand[target.as_usize()];
+                    let request = session.request.as_ref();
                     match lane.and_then(|lane| lane.idle_for(session)) {
                         Some(connection) => self.lend(group, connection, client, now),
+                        None if request.is_some_and(|request| {
+                            self.is_too_late(group, target, request, ahead, now)
+                        }) =>
+                        {
+                            self.refuse_late(client, RefusalReason::DeadlinePassed, now);
+                        }
                         None => {
                             demand[target.as_usize()] += 1;
                             waiting.push(client);
@@ -63,10 +72,7 @@
                     }
                 }
                 Placement::Wait => waiting.push(client),
-                Placement::Refuse(reason) => {
-                    let text = "the statement cannot be run here in time; retry after 50 ms";
-                    self.refuse_request(client, ClientCode::Busy, reason, text, now);
-                }
+                Placement::Refuse(reason) => self.refuse_late(client, reason, now),
             }
         }
         // Refusals above may have let later queries of a client into the queue.
@@ -357,6 +363,12 @@
         self.place_anew(client, now);
     }
 
+    /// Refuses a waiting request that is known not to be served in time.
+    fn refuse_late(&mut self, client: ClientId, reason: RefusalReason, now: MonoTime) {
+        let text = "the statement cannot be run here in time";
+        self.refuse_request(client, ClientCode::Busy, reason, text, now);
+    }
+
     /// Refuses a request of which nothing is kept, and ends its transaction.
     pub(crate) fn refuse_request(
         &mut self,
@@ -369,6 +381,10 @@
         self.statistics.refused(reason);
         let may_log = self.may_log(now);
         let inputs = may_log.then(|| self.describe_inputs(client, now));
+        let group = self
+            .client(client)
+            .and_then(|s| Some(s.request.as_ref()?.group));
+        let retry_after = group.map(|group| self.retry_after(group, reason, now));
         let Some(session) = self.client_mut(client) else {
             return;
         };
@@ -378,10 +394,11 @@
         if let Some(inputs) = inputs {
             info!(
                 "statement_refused id={} client={client} reason={reason} waited_ms={} \
-                 attempts={} sent_to={} database={} {inputs}",
+                 attempts={} retry_after_ms={} sent_to={} database={} {inputs}",
                 request.query.id,
                 now.since(request.received_at).as_millis(),
                 request.attempts,
+                retry_after.map_or(0, |span| span.as_millis()),
                 request.sent_to,
                 request.route.database
             );
@@ -408,7 +425,11 @@
         if let Some(home) = home {
             self.tell_home(client, &home, HomeMessage::End);
         }
-        self.refuse_locally(client, code, text);
+        let error = ClientError {
+            retry_after,
+            ..ClientError::new(code, text)
+        };
+        self.send_error(client, error);
         if reason == RefusalReason::Unreachable
             && let Some(GatewayAction::AnswerClient { answer, .. }) = self.actions.last_mut()
         {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -299,7 +299,7 @@
                 session.position = session.position.max(answer.position);
                 session.has_doubt = false;
             }
-            Err((ClientCode::InDoubt, _)) => session.has_doubt = true,
+            Err(error) if error.code == ClientCode::InDoubt => session.has_doubt = true,
             _ => {}
         }
         self.send_answer(client, answer.end, answer.position, answer.rows);
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -42,6 +42,8 @@
     /// The target that led last, while none is known to lead.
     pub last_primary: Option<TargetIndex>,
     pub leaderless_since: Option<MonoTime>,
+    /// How long the group was last without a primary after it had one.
+    pub failover_time: Option<Duration>,
     pub monitor: PrimaryMonitor,
     pub suspicion: Suspicion,
     /// Clients whose requests wait for a connection.
@@ -88,6 +90,7 @@
             primary: None,
             last_primary: None,
             leaderless_since: Some(now),
+            failover_time: None,
             monitor: PrimaryMonitor::new(monitor),
             suspicion: Suspicion::Healthy,
             queue: Vec::new(),
@@ -276,6 +279,7 @@
         target: TargetIndex,
         term: TermNumber,
         monitor: &MonitorSettings,
+        now: MonoTime,
     ) -> bool {
         if self.primary == Some(target) && self.term == term {
             return false;
@@ -283,9 +287,13 @@
         if term > self.term {
             self.start_term(term);
         }
+        if let Some(since) = self.leaderless_since.take()
+            && self.last_primary.is_some()
+        {
+            self.failover_time = Some(now.since(since));
+        }
         self.primary = Some(target);
         self.last_primary = Some(target);
-        self.leaderless_since = None;
         self.monitor = PrimaryMonitor::new(monitor.clone());
         self.suspicion = Suspicion::Healthy;
         true
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod settings;
 mod statement;
 mod statistics;
+mod waiting;
 
 pub use action::ConnectError;
 pub use action::DutyRefusal;
@@ -52,6 +53,7 @@
 pub use message::AnswerEnd;
 pub use message::ClientAnswer;
 pub use message::ClientCode;
+pub use message::ClientError;
 pub use message::ClientId;
 pub use message::ClientQuery;
 pub use message::SessionState;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -70,13 +70,36 @@
     InDoubt,
 }
 
+/// An error for a client.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClientError {
+    /// What kind of error it is.
+    pub code: ClientCode,
+    /// Text for people.
+    pub text: String,
+    /// Time after which another attempt may succeed; none if the same attempt is not expected to, or
+    /// if it may not be repeated.
+    pub retry_after: Option<Duration>,
+}
+
+impl ClientError {
+    /// An error without advice on another attempt.
+    pub fn new(code: ClientCode, text: &str) -> Self {
+        Self {
+            code,
+            text: text.to_string(),
+            retry_after: None,
+        }
+    }
+}
+
 /// Answer to a client.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ClientAnswer {
     /// Rows, in order.
     pub rows: Vec<String>,
-    /// The target's signature, none for a local success, or an error with its text.
-    pub end: Result<Option<String>, (ClientCode, String)>,
+    /// The target's signature, none for a local success, or an error.
+    pub end: Result<Option<String>, ClientError>,
     /// State of the session after it.
     pub state: SessionState,
     /// Log position of the target that answered.
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -113,7 +113,7 @@
         let is_current = report.term == state.term;
         match report.role {
             TargetRole::Primary if is_current => {
-                if state.set_primary(target, report.term, &monitor) {
+                if state.set_primary(target, report.term, &monitor, now) {
                     info!(
                         "primary_known group={} target={} term={}",
                         state.name,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,6 +9,7 @@
 
 use heatherhollow_types::FailureReason;
 use heatherhollow_types::MonoTime;
+use heatherhollow_types::RefusalReason;
 use heatherhollow_types::RetryReason;
 use heatherhollow_types::TargetIndex;
 use heatherhollow_types::UnknownReason;
@@ -23,6 +24,7 @@
 use crate::lane::ControlPurpose;
 use crate::message::AnswerEnd;
 use crate::message::ClientCode;
+use crate::message::ClientError;
 use crate::message::ClientId;
 use crate::message::SessionState;
 use crate::message::TargetAnswer;
@@ -473,7 +475,16 @@
         } else {
             self.release_or_close(id, SessionState::Idle, now);
         }
-        self.refuse_locally(client, client_code, &text);
+        let is_promise = matches!(
+            client_code,
+            ClientCode::Busy | ClientCode::Lagging | ClientCode::ReadOnly
+        );
+        let reason = RefusalReason::TargetRefused;
+        let error = ClientError {
+            retry_after: is_promise.then(|| self.retry_after(place.group, reason, now)),
+            ..ClientError::new(client_code, &text)
+        };
+        self.send_error(client, error);
         self.advance_client(client, now);
     }
 
--- /dev/null
+++ b/crates/gateway/src/waiting.rs
@@ -0,0 +1,109 @@
+//! Expected waiting times: whether a statement can start in time, and when a refused one may come back.
+//!
+//! Load that this answers: more statements than the targets' connections serve, and groups without a
+//! primary. A statement that cannot start before its limit is refused at once, and the client is told
+//! when another attempt is expected to be served.
+
+use std::time::Duration;
+
+use heatherhollow_types::MonoTime;
+use heatherhollow_types::RefusalReason;
+use heatherhollow_types::TargetIndex;
+
+use crate::core::SessionGateway;
+use crate::group::DatabaseGroup;
+use crate::group::GroupIndex;
+use crate::lane::TargetLane;
+use crate::session::ClientRequest;
+
+/// Advice where another instance may serve the statement: clients reach another one with each attempt,
+/// so it only spreads the attempts of many clients.
+pub(crate) const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
+
+/// Longest advice; a failover or a restart of targets is over by then, and estimates beyond it are
+/// uncertain.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
+
+impl SessionGateway {
+    /// Whether a statement for which no connection is free cannot start before its limit, with
+    /// `ahead` others waiting for the same target.
+    ///
+    /// The estimate leaves out pauses inside transactions, so it errs towards waiting.
+    pub(crate) fn is_too_late(
+        &self,
+        group: GroupIndex,
+        target: TargetIndex,
+        request: &ClientRequest,
+        ahead: usize,
+        now: MonoTime,
+    ) -> bool {
+        let lane = self.groups[group.0].lane(target);
+        let Some(pace) = lane.and_then(|lane| statement_pace(lane, now)) else {
+            return false;
+        };
+        let limit = request.route.timeout.mul_f64(self.settings.queue_fraction);
+        now + times(pace, ahead) >= request.received_at + limit
+    }
+
+    /// When a statement that is refused now may come back.
+    pub(crate) fn retry_after(
+        &self,
+        group: GroupIndex,
+        reason: RefusalReason,
+        now: MonoTime,
+    ) -> Duration {
+        let state = &self.groups[group.0];
+        let span = match reason {
+            RefusalReason::Unreachable => RETRY_ELSEWHERE,
+            RefusalReason::NoPrimary => self.expected_primary(state, now),
+            RefusalReason::TransactionLost if state.primary.is_none() => {
+                self.expected_primary(state, now)
+            }
+            _ => expected_drain(state, now),
+        };
+        span.clamp(self.settings.busy_backoff, MAX_RETRY_AFTER)
+    }
+
+    /// Time until a group without a primary is expected to have one: what the last failover took, less
+    /// what has passed of this one.
+    fn expected_primary(&self, state: &DatabaseGroup, now: MonoTime) -> Duration {
+        let most = self.settings.promotion_step + self.settings.promotion_effect;
+        let usual = state.failover_time.unwrap_or(most);
+        if self.is_hopeless(state, now) {
+            return self.settings.promotion_backoff + usual;
+        }
+        let elapsed = state
+            .leaderless_since
+            .map_or(Duration::ZERO, |since| now.since(since));
+        usual
+            .saturating_sub(elapsed)
+            .max(self.settings.promotion_backoff)
+    }
+}
+
+/// Time until what waits for a group now has started, at the pace of all its targets together.
+fn expected_drain(state: &DatabaseGroup, now: MonoTime) -> Duration {
+    let rate = state
+        .targets()
+        .filter_map(|(_, lane)| statement_pace(lane, now))
+        .map(|pace| 1.0 / pace.as_secs_f64())
+        .sum::<f64>();
+    if rate > 0.0 {
+        let seconds = (state.queue.len() + 1) as f64 / rate;
+        Duration::from_secs_f64(seconds.min(MAX_RETRY_AFTER.as_secs_f64()))
+    } else {
+        RETRY_ELSEWHERE
+    }
+}
+
+/// Time between the starts of two statements at a target whose connections are all in use; none if it
+/// is not known.
+fn statement_pace(lane: &TargetLane, now: MonoTime) -> Option<Duration> {
+    let ready = u32::try_from(lane.connections.len() - lane.opening()).unwrap_or(u32::MAX);
+    let pace = lane.statement_time.value(now).checked_div(ready)?;
+    (!pace.is_zero()).then_some(pace)
+}
+
+fn times(pace: Duration, count: usize) -> Duration {
+    pace.saturating_mul(u32::try_from(count).unwrap_or(u32::MAX))
+}
--- a/crates/gateway/tests/statements.rs
+++ b/crates/gateway/tests/statements.rs
@@ -264,7 +264,7 @@
 }
 
 fn code(answer: Option<ClientAnswer>) -> Option<ClientCode> {
-    answer.and_then(|answer| answer.end.err().map(|(code, _)| code))
+    answer.and_then(|answer| answer.end.err().map(|error| error.code))
 }
 
 const BEGIN: Statement = Statement::Begin {
--- a/crates/gateway/tests/support/playing.rs
+++ b/crates/gateway/tests/support/playing.rs
@@ -192,7 +192,8 @@
                     _ => {}
                 }
             }
-            Err((code, _)) => {
+            Err(error) => {
+                let code = &error.code;
                 self.refused += 1;
                 let outcome = match code {
                     ClientCode::Busy
--- a/crates/runner/src/formats.rs
+++ b/crates/runner/src/formats.rs
@@ -4,7 +4,7 @@
 
 use heatherhollow_gateway::Catalog;
 use heatherhollow_gateway::ClientAnswer;
-use heatherhollow_gateway::ClientCode;
+use heatherhollow_gateway::ClientError;
 use heatherhollow_gateway::ClientQuery;
 use heatherhollow_gateway::OrderReply;
 use heatherhollow_gateway::SessionState;
@@ -57,7 +57,7 @@
     fn encode_ready(&self, out: &mut String);
 
     /// Appends the refusal of a client's session.
-    fn encode_rejection(&self, code: ClientCode, text: &str, out: &mut String);
+    fn encode_rejection(&self, error: &ClientError, out: &mut String);
 
     /// Appends a call to a target.
     fn encode_call(&self, call: &TargetCall, out: &mut String);
--- a/crates/runner/src/frames.rs
+++ b/crates/runner/src/frames.rs
@@ -4,6 +4,7 @@
 
 use heatherhollow_gateway::ClientAnswer;
 use heatherhollow_gateway::ClientCode;
+use heatherhollow_gateway::ClientError;
 use heatherhollow_gateway::ClientQuery;
 use heatherhollow_gateway::ForwardedQuery;
 use heatherhollow_gateway::PreparedShape;
@@ -132,6 +133,8 @@
     pub serial: u64,
     #[prost(bool, tag = "9")]
     pub is_isolated: bool,
+    #[prost(uint64, optional, tag = "10")]
+    pub retry_after_micros: Option<u64>,
 }
 
 /// Codes by their number on the link.
@@ -255,12 +258,12 @@
 
 /// Encodes an answer.
 pub fn answer_frame(session: u64, serial: u64, answer: ClientAnswer) -> AnswerFrame {
-    let (signature, code, text) = match answer.end {
-        Ok(signature) => (signature, 0, String::new()),
-        Err((code, text)) => {
-            let index = CODES.iter().position(|known| *known == code);
+    let (signature, code, text, retry_after) = match answer.end {
+        Ok(signature) => (signature, 0, String::new(), None),
+        Err(error) => {
+            let index = CODES.iter().position(|known| *known == error.code);
             let index = index.expect("every code has a number");
-            (None, index as u32 + 1, text)
+            (None, index as u32 + 1, error.text, error.retry_after)
         }
     };
     AnswerFrame {
@@ -271,6 +274,7 @@
         signature,
         code,
         text,
+        retry_after_micros: retry_after.map(micros),
         state: match answer.state {
             SessionState::Idle => 0,
             SessionState::Transaction => 1,
@@ -284,7 +288,11 @@
 pub fn client_answer(frame: AnswerFrame) -> Option<ClientAnswer> {
     let end = match frame.code {
         0 => Ok(frame.signature),
-        code => Err((*CODES.get(code as usize - 1)?, frame.text)),
+        code => Err(ClientError {
+            code: *CODES.get(code as usize - 1)?,
+            text: frame.text,
+            retry_after: frame.retry_after_micros.map(Duration::from_micros),
+        }),
     };
     Some(ClientAnswer {
         rows: frame.rows,
--- a/crates/runner/src/run.rs
+++ b/crates/runner/src/run.rs
@@ -336,9 +336,9 @@
                 }
                 send(&link.answers, out);
             }
-            GatewayAction::RejectClient { client, code, text } => {
+            GatewayAction::RejectClient { client, error } => {
                 let mut out = String::new();
-                self.parts.wire.encode_rejection(code, &text, &mut out);
+                self.parts.wire.encode_rejection(&error, &mut out);
                 if let Some(link) = self.client(client) {
                     send(&link.answers, out);
                 }
