Judge waiting statements by the best rate of their target of late

Change: a target's rate is remembered at its best for 10 s.

Tests: hopeless_writes_are_refused_at_once, stall_does_not_refuse_what_can_be_served.

--- a/crates/gateway/src/expiry.rs
+++ b/crates/gateway/src/expiry.rs
@@ -62,7 +62,7 @@
             if let Some(lane) = self.groups[place.group.0].lane_mut(place.target) {
                 lane.failure_rate.record(true, now);
                 if let Some(sent_at) = sent_at {
-                    lane.statement_time.record(now.since(sent_at), now);
+                    lane.record_statement(now.since(sent_at), now);
                 }
                 if lane.answered_at < sent_at {
                     // Nothing at all has come from the target since: others are tried first.
--- a/crates/gateway/src/lane.rs
+++ b/crates/gateway/src/lane.rs
@@ -6,6 +6,7 @@
 
 use heatherhollow_limits::FailureRate;
 use heatherhollow_limits::SmoothedTime;
+use heatherhollow_limits::WindowMaximum;
 use heatherhollow_types::MonoTime;
 use heatherhollow_types::TermNumber;
 
@@ -181,6 +182,47 @@
     }
 }
 
+/// Time over which the best rate of a target is remembered; longer than a failover, shorter than a
+/// change of the load usually takes.
+const RATE_WINDOW: Duration = Duration::from_secs(10);
+
+/// Part of the usual time of a statement that one new sample replaces, as a divisor.
+const SAMPLE_DIVISOR: u32 = 8;
+
+/// Rate at which a target serves an instance's statements.
+#[derive(Debug, Clone)]
+pub(crate) struct ServiceRate {
+    usual_time: Option<Duration>,
+    /// Statements a second.
+    best: WindowMaximum,
+}
+
+impl Default for ServiceRate {
+    fn default() -> Self {
+        Self {
+            usual_time: None,
+            best: WindowMaximum::new(RATE_WINDOW),
+        }
+    }
+}
+
+impl ServiceRate {
+    /// Takes the time of a statement while so many connections were ready.
+    fn record(&mut self, took: Duration, connections: usize, now: MonoTime) {
+        let old = self.usual_time.unwrap_or(took);
+        let usual = (old * (SAMPLE_DIVISOR - 1) + took) / SAMPLE_DIVISOR;
+        self.usual_time = Some(usual);
+        let rate = connections as f64 / usual.as_secs_f64().max(f64::MIN_POSITIVE);
+        self.best.record(rate as usize, now);
+    }
+
+    /// The best rate of late, in statements a second; none if it is not known. A stall of a moment does
+    /// not lower it.
+    pub fn best(&self, now: MonoTime) -> Option<usize> {
+        Some(self.best.value(now)).filter(|rate| *rate > 0)
+    }
+}
+
 /// A target with this instance's connections to it.
 #[derive(Debug, Clone)]
 pub(crate) struct TargetLane {
@@ -192,6 +234,8 @@
     pub connections: Vec<TargetConnection>,
     pub control: VecDeque<ControlJob>,
     pub statement_time: SmoothedTime,
+    /// Rate at which all its connections together serve statements.
+    pub service_rate: ServiceRate,
     /// Share of statements that failed.
     pub failure_rate: FailureRate,
     /// No new connection before this time.
@@ -223,6 +267,7 @@
             connections: Vec::new(),
             control: VecDeque::new(),
             statement_time: SmoothedTime::default(),
+            service_rate: ServiceRate::default(),
             failure_rate: FailureRate::default(),
             open_after: MonoTime::ZERO,
             surplus_after: MonoTime::ZERO,
@@ -236,6 +281,13 @@
         }
     }
 
+    /// Records the time of a statement that ended at `now`.
+    pub fn record_statement(&mut self, took: Duration, now: MonoTime) {
+        self.statement_time.record(took, now);
+        let ready = self.connections.len() - self.opening();
+        self.service_rate.record(took, ready, now);
+    }
+
     /// Whether it takes no new work.
     pub fn is_leaving(&self) -> bool {
         self.entry.state == TargetState::Draining
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -190,7 +190,7 @@
             return;
         };
         if let Some(lane) = self.groups[place.group.0].lane_mut(place.target) {
-            lane.statement_time.record(now.since(sent_at), now);
+            lane.record_statement(now.since(sent_at), now);
             let has_failed = answer.error() == Some(&TargetCode::Failed);
             lane.failure_rate.record(has_failed, now);
         }
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -13,7 +13,6 @@
 use crate::core::SessionGateway;
 use crate::group::DatabaseGroup;
 use crate::group::GroupIndex;
-use crate::lane::TargetLane;
 use crate::session::ClientRequest;
 
 /// Advice where another instance may serve the statement: clients reach another one with each attempt,
@@ -28,7 +27,8 @@
     /// Whether a statement for which no connection is free cannot start before its limit, with
     /// `ahead` others waiting for the same target.
     ///
-    /// The estimate leaves out pauses inside transactions, so it errs towards waiting.
+    /// The estimate takes the best rate of late and leaves out pauses inside transactions, so it errs
+    /// towards waiting: after a stall of the target, what waits is served at its usual rate.
     pub(crate) fn is_too_late(
         &self,
         group: GroupIndex,
@@ -38,11 +38,11 @@
         now: MonoTime,
     ) -> bool {
         let lane = self.groups[group.0].lane(target);
-        let Some(pace) = lane.and_then(|lane| statement_pace(lane, now)) else {
+        let Some(rate) = lane.and_then(|lane| lane.service_rate.best(now)) else {
             return false;
         };
         let limit = request.route.timeout.mul_f64(self.settings.queue_fraction);
-        now + times(pace, ahead) >= request.received_at + limit
+        now + time_for(ahead, rate) >= request.received_at + limit
     }
 
     /// When a statement that is refused now may come back.
@@ -81,29 +81,20 @@
     }
 }
 
-/// Time until what waits for a group now has started, at the pace of all its targets together.
+/// Time until what waits for a group now has started, at the best rate of late of all its targets together.
 fn expected_drain(state: &DatabaseGroup, now: MonoTime) -> Duration {
     let rate = state
         .targets()
-        .filter_map(|(_, lane)| statement_pace(lane, now))
-        .map(|pace| 1.0 / pace.as_secs_f64())
-        .sum::<f64>();
-    if rate > 0.0 {
-        let seconds = (state.queue.len() + 1) as f64 / rate;
-        Duration::from_secs_f64(seconds.min(MAX_RETRY_AFTER.as_secs_f64()))
+        .filter_map(|(_, lane)| lane.service_rate.best(now))
+        .sum::<usize>();
+    if rate > 0 {
+        time_for(state.queue.len() + 1, rate)
     } else {
         RETRY_ELSEWHERE
     }
 }
 
-/// Time between the starts of two statements at a target whose connections are all in use; none if it
-/// is not known.
-fn statement_pace(lane: &TargetLane, now: MonoTime) -> Option<Duration> {
-    let ready = u32::try_from(lane.connections.len() - lane.opening()).unwrap_or(u32::MAX);
-    let pace = lane.statement_time.value(now).checked_div(ready)?;
-    (!pace.is_zero()).then_some(pace)
-}
-
-fn times(pace: Duration, count: usize) -> Duration {
-    pace.saturating_mul(u32::try_from(count).unwrap_or(u32::MAX))
+/// Time in which so many statements start, at a rate in statements a second.
+fn time_for(count: usize, rate: usize) -> Duration {
+    Duration::from_secs_f64(count as f64 / rate as f64)
 }
--- /dev/null
+++ b/crates/gateway/tests/waiting.rs
@@ -0,0 +1,279 @@
+//! What waits for a target that is busy, and what is refused, with the advice that clients get.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use heatherhollow_gateway::AnswerEnd;
+use heatherhollow_gateway::Catalog;
+use heatherhollow_gateway::ClientAnswer;
+use heatherhollow_gateway::ClientCode;
+use heatherhollow_gateway::ClientId;
+use heatherhollow_gateway::ClientQuery;
+use heatherhollow_gateway::ConnectionId;
+use heatherhollow_gateway::GatewayAction;
+use heatherhollow_gateway::GatewayEvent;
+use heatherhollow_gateway::GatewaySettings;
+use heatherhollow_gateway::GroupRule;
+use heatherhollow_gateway::InstanceIdentity;
+use heatherhollow_gateway::RouteFreshness;
+use heatherhollow_gateway::SessionGateway;
+use heatherhollow_gateway::SessionRoute;
+use heatherhollow_gateway::SessionState;
+use heatherhollow_gateway::Statement;
+use heatherhollow_gateway::StatusFormat;
+use heatherhollow_gateway::StatusReport;
+use heatherhollow_gateway::TargetAnswer;
+use heatherhollow_gateway::TargetCall;
+use heatherhollow_gateway::TargetEntry;
+use heatherhollow_gateway::TargetRole;
+use heatherhollow_gateway::TargetState;
+use heatherhollow_types::GroupPosition;
+use heatherhollow_types::MonoTime;
+use heatherhollow_types::TermNumber;
+
+/// Time limit of a statement; it may wait for 0.6 s of it.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+struct RoleFormat;
+
+impl StatusFormat for RoleFormat {
+    fn decode(&self, row: &str) -> Option<StatusReport> {
+        Some(StatusReport {
+            role: if row == "primary" {
+                TargetRole::Primary
+            } else {
+                TargetRole::Replica
+            },
+            term: TermNumber(1),
+            received: GroupPosition::new(1, 10),
+            paused_for: None,
+            lag: Duration::ZERO,
+            busy_slots: 0,
+            connections: 4,
+        })
+    }
+}
+
+/// One gateway before a primary that works on four statements at a time, each for a set time.
+struct BusyPrimary {
+    gateway: SessionGateway,
+    now: MonoTime,
+    work: Duration,
+    /// Target of each connection.
+    targets: Vec<(ConnectionId, usize)>,
+    running: Vec<(MonoTime, ConnectionId)>,
+    answers: Vec<(MonoTime, ClientAnswer)>,
+    clients: u64,
+}
+
+impl BusyPrimary {
+    fn new(work: Duration) -> Self {
+        let identity = InstanceIdentity {
+            name: "instance-1".to_string(),
+            data_centre: "dc".parse().unwrap(),
+            regions: Vec::new(),
+        };
+        let settings = GatewaySettings::default();
+        let format = Arc::new(RoleFormat);
+        let mut desk = Self {
+            gateway: SessionGateway::new(settings, identity, format, Box::new(())),
+            now: MonoTime::from_millis(10_000),
+            work,
+            targets: Vec::new(),
+            running: Vec::new(),
+            answers: Vec::new(),
+            clients: 0,
+        };
+        desk.tell(GatewayEvent::CatalogRead(catalog()));
+        desk.tell(GatewayEvent::TargetsRead((0..3).map(entry).collect()));
+        desk.pass(Duration::from_secs(2));
+        desk
+    }
+
+    /// Lets time pass in steps of 5 ms.
+    fn pass(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now = self.now + Duration::from_millis(5);
+            let (done, running) = self
+                .running
+                .iter()
+                .partition(|(ends_at, _)| *ends_at <= self.now);
+            self.running = running;
+            let done: Vec<(MonoTime, ConnectionId)> = done;
+            for (_, connection) in done {
+                let answer = success("", "sig", SessionState::Idle);
+                self.tell(GatewayEvent::TargetAnswered { connection, answer });
+            }
+            self.tell(GatewayEvent::Tick);
+        }
+    }
+
+    fn tell(&mut self, event: GatewayEvent) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            for action in self.gateway.handle(event, self.now) {
+                events.extend(self.perform(action));
+            }
+        }
+    }
+
+    fn perform(&mut self, action: GatewayAction) -> Option<GatewayEvent> {
+        match action {
+            GatewayAction::OpenTarget {
+                connection,
+                address,
+                ..
+            } => {
+                self.targets.push((connection, usize::from(address.port())));
+                Some(GatewayEvent::TargetOpened(connection))
+            }
+            GatewayAction::CallTarget { connection, call } => {
+                let found = self.targets.iter().find(|(id, _)| *id == connection);
+                let row = match (&call, found.unwrap().1) {
+                    (TargetCall::Status, 0) => "primary",
+                    (TargetCall::Status, _) => "replica",
+                    (TargetCall::Forward { .. }, _) => {
+                        self.running.push((self.now + self.work, connection));
+                        return None;
+                    }
+                    _ => "",
+                };
+                let answer = success(row, "-", SessionState::Idle);
+                Some(GatewayEvent::TargetAnswered { connection, answer })
+            }
+            GatewayAction::AnswerClient { answer, .. } if self.clients > 0 => {
+                self.answers.push((self.now, answer));
+                None
+            }
+            _ => None,
+        }
+    }
+
+    /// New clients each send a write.
+    fn write(&mut self, count: u64) {
+        for _ in 0..count {
+            self.clients += 1;
+            let client = ClientId(self.clients);
+            self.tell(GatewayEvent::ClientOpened(client));
+            let database = "ledger".to_string();
+            self.tell(GatewayEvent::ClientStart { client, database });
+            self.answers.pop();
+            self.tell(GatewayEvent::ClientQuery {
+                client,
+                query: ClientQuery {
+                    id: format!("q{client}"),
+                    text: "WRITE item".to_string(),
+                    statement: Statement::Write,
+                },
+            });
+        }
+    }
+
+    /// Numbers of served and of refused statements; each refusal promises that nothing is kept and says
+    /// when to come back.
+    fn take_answers(&mut self) -> (usize, Vec<Duration>) {
+        let mut served = 0;
+        let mut advice = Vec::new();
+        for (_, answer) in std::mem::take(&mut self.answers) {
+            match answer.end {
+                Ok(_) => served += 1,
+                Err(error) => {
+                    assert_eq!(error.code, ClientCode::Busy);
+                    advice.push(error.retry_after.expect("a refusal says when to come back"));
+                }
+            }
+        }
+        (served, advice)
+    }
+}
+
+fn entry(target: usize) -> TargetEntry {
+    TargetEntry {
+        target: format!("t{target}"),
+        group: "ledger".to_string(),
+        address: format!("127.0.0.1:{target}").parse().unwrap(),
+        data_centre: "dc".parse().unwrap(),
+        slots: 4,
+        state: TargetState::Ready,
+        role: None,
+        born: 1,
+    }
+}
+
+fn catalog() -> Catalog {
+    Catalog {
+        version: 1,
+        routes: vec![SessionRoute {
+            database: "ledger".to_string(),
+            group: "ledger".to_string(),
+            freshness: RouteFreshness::Primary,
+            timeout: TIMEOUT,
+            objective: Duration::from_millis(500),
+            priority: 1,
+        }],
+        groups: vec![GroupRule {
+            group: "ledger".to_string(),
+            // Half of them are the instance's share, and its reports leave no more to borrow.
+            max_connections: 5,
+            sync_replicas: 1,
+        }],
+        idle_transaction: None,
+    }
+}
+
+fn success(row: &str, signature: &str, state: SessionState) -> TargetAnswer {
+    let rows = if row.is_empty() { None } else { Some(row) };
+    TargetAnswer {
+        rows: rows.into_iter().map(ToString::to_string).collect(),
+        end: AnswerEnd::Complete {
+            signature: signature.to_string(),
+        },
+        state,
+        position: Some(GroupPosition::new(1, 10)),
+    }
+}
+
+/// Five times what the primary can work on in the time that statements may wait: the part that cannot
+/// start in time must not be kept until its time is up, and the rest is served.
+#[test]
+fn hopeless_writes_are_refused_at_once() {
+    let mut desk = BusyPrimary::new(Duration::from_millis(100));
+    for _ in 0..20 {
+        desk.write(1);
+        desk.pass(Duration::from_millis(120));
+    }
+    let (served, refused) = desk.take_answers();
+    assert!(served >= 19 && refused.is_empty());
+    desk.write(100);
+    let at_once = desk.answers.len();
+    assert!(
+        (50..=95).contains(&at_once),
+        "{at_once} of 100 writes were refused at once"
+    );
+    desk.pass(Duration::from_secs(2));
+    let (served, refused) = desk.take_answers();
+    assert!(served >= 10, "{served} writes were served");
+    assert!(refused.len() <= at_once + 5, "writes were held in vain");
+    assert!(refused.iter().all(|advice| !advice.is_zero()));
+}
+
+/// A stall of the primary for half a second must not make it look slow: what waits then is served.
+#[test]
+fn stall_does_not_refuse_what_can_be_served() {
+    let mut desk = BusyPrimary::new(Duration::from_millis(20));
+    for _ in 0..40 {
+        desk.write(1);
+        desk.pass(Duration::from_millis(50));
+    }
+    desk.take_answers();
+    desk.work = Duration::from_millis(450);
+    desk.write(2);
+    desk.work = Duration::from_millis(20);
+    desk.write(10);
+    desk.pass(Duration::from_millis(500));
+    desk.write(10);
+    desk.pass(Duration::from_secs(1));
+    let (served, refused) = desk.take_answers();
+    assert_eq!((served, refused.len()), (22, 0));
+}
