Let a few instances of a data centre read the store for the others

Cause: every instance read the whole store.

Change: four places with a lease in each data centre; their holders read the store and send followers the entries, each change, and a confirmation each second. Groups without work are passed over at each event.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -155,8 +155,11 @@
             GatewayEvent::TargetUnlisted(target) => self.unlist_target(&target, now),
             GatewayEvent::TargetsRead(entries) => self.replace_targets(entries, now),
             GatewayEvent::InstancesCounted(count) => {
-                self.instances = count.max(1);
-                self.choose_homes(now, true);
+                let count = count.max(1);
+                if self.instances != count {
+                    self.instances = count;
+                    self.choose_homes(now, true);
+                }
             }
             GatewayEvent::DutyAnswered(answer) => self.take_duty(answer, now),
             GatewayEvent::PromotionOrdered { group, reply } => {
@@ -221,7 +224,10 @@
         self.choose_homes(now, false);
         for i in 0..self.groups.len() {
             if !self.is_observer(GroupIndex(i), now) {
-                self.rest_group(GroupIndex(i), now);
+                if now.since(self.groups[i].rested_at) >= REST_INTERVAL {
+                    self.groups[i].rested_at = now;
+                    self.rest_group(GroupIndex(i), now);
+                }
                 continue;
             }
             self.observe_group(GroupIndex(i), now);
@@ -473,5 +479,9 @@
 /// Time between ticks while something waits; a quarter of the smallest time limit in use.
 const BUSY_TICK: Duration = Duration::from_millis(20);
 
+/// Time between the periodic work of a group that is used through its home: nothing but connections
+/// that are left from its use here.
+const REST_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Time between ticks otherwise; below the gap at which the monitor of a primary starts over.
 const IDLE_TICK: Duration = Duration::from_millis(100);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -36,7 +36,11 @@
 impl SessionGateway {
     /// Lends idle connections to waiting statements and opens connections that are missing.
     pub(crate) fn dispatch(&mut self, group: GroupIndex, now: MonoTime) {
-        self.send_control(group, now);
+        // Most groups have nothing to do at most events; an instance may know hundreds of them.
+        let mut lanes = self.groups[group.0].lanes.iter().flatten();
+        if lanes.any(|lane| !lane.control.is_empty()) {
+            self.send_control(group, now);
+        }
         self.want_evidence(group, now);
         if self.groups[group.0].queue.is_empty() {
             return;
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -74,6 +74,8 @@
     pub isolated_homes: Vec<(String, MonoTime)>,
     /// When the home was last chosen.
     pub home_chosen_at: MonoTime,
+    /// When its periodic work was last done while it was used through its home.
+    pub rested_at: MonoTime,
     pub promotion: Option<PromotionRun>,
     pub promotion_after: MonoTime,
 }
@@ -107,6 +109,7 @@
             remote_home: None,
             isolated_homes: Vec::new(),
             home_chosen_at: now,
+            rested_at: MonoTime::ZERO,
             promotion: None,
             promotion_after: MonoTime::ZERO,
         }
--- a/crates/runner/src/frames.rs
+++ b/crates/runner/src/frames.rs
@@ -21,7 +21,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct LinkFrame {
     /// What it is.
-    #[prost(oneof = "FrameBody", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "FrameBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub body: Option<FrameBody>,
 }
 
@@ -46,9 +46,53 @@
     /// Answers a ping.
     #[prost(bool, tag = "6")]
     Pong(bool),
-    /// The home is about to stop.
+    /// The sender is about to stop.
     #[prost(bool, tag = "7")]
     Leaving(bool),
+    /// Asks a reader of the store for what comes after this revision.
+    #[prost(uint64, tag = "8")]
+    Follow(u64),
+    /// Entries of the store.
+    #[prost(message, tag = "9")]
+    State(StateFrame),
+    /// The sender does not read the store, or the store does not answer it.
+    #[prost(bool, tag = "10")]
+    Detached(bool),
+}
+
+/// How entries are meant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum StatePart {
+    /// Changes since the last frame.
+    Changes = 0,
+    /// Part of all entries; more follow.
+    Snapshot = 1,
+    /// The last part of all entries.
+    SnapshotEnd = 2,
+}
+
+/// Entries of the store.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StateFrame {
+    #[prost(enumeration = "StatePart", tag = "1")]
+    pub part: i32,
+    /// Revision of the store that the sender knows.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub entries: Vec<EntryFrame>,
+}
+
+/// An entry of the store; without a value it was removed.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct EntryFrame {
+    #[prost(string, tag = "1")]
+    pub path: String,
+    #[prost(bytes = "bytes", optional, tag = "2")]
+    pub value: Option<bytes::Bytes>,
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
 }
 
 /// A name with a text.
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -8,12 +8,15 @@
 mod clients;
 mod clock;
 mod duty;
+mod follow;
 mod formats;
 mod frames;
 mod link_table;
 mod links;
 mod membership;
 mod metrics;
+mod mirror;
+mod readers;
 mod run;
 mod settings;
 mod socket;
--- a/crates/runner/src/link_table.rs
+++ b/crates/runner/src/link_table.rs
@@ -1,6 +1,7 @@
 //! Links of an instance and the sessions on them.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use log::warn;
 use tokio::sync::mpsc::UnboundedSender;
@@ -22,6 +23,7 @@
 use crate::links::LinkEvent;
 use crate::links::LinkId;
 use crate::links::run_home_link;
+use crate::mirror::StoreMirror;
 
 /// A session that another instance forwards.
 struct ForwardedSession {
@@ -36,6 +38,7 @@
 /// Links and sessions.
 pub struct LinkTable {
     ids: ClientIds,
+    mirror: Arc<StoreMirror>,
     /// Links that others opened, sorted by id.
     accepted: Vec<(LinkId, UnboundedSender<FrameBody>)>,
     /// Links to homes, sorted by instance.
@@ -46,9 +49,10 @@
 
 impl LinkTable {
     /// A table without links.
-    pub fn new(ids: ClientIds) -> Self {
+    pub fn new(ids: ClientIds, mirror: Arc<StoreMirror>) -> Self {
         Self {
             ids,
+            mirror,
             accepted: Vec::new(),
             homes: Vec::new(),
             sessions: Vec::new(),
@@ -120,6 +124,13 @@
                 Some(i) => vec![GatewayEvent::ClientClosed(self.sessions.remove(i).client)],
                 None => Vec::new(),
             },
+            FrameBody::Follow(known) => {
+                let found = self.accepted.binary_search_by_key(&link, |(id, _)| *id);
+                if let Ok(i) = found {
+                    self.mirror.follow(known, self.accepted[i].1.clone());
+                }
+                Vec::new()
+            }
             other => {
                 warn!("link_frame_unexpected body={other:?}");
                 Vec::new()
--- a/crates/runner/src/links.rs
+++ b/crates/runner/src/links.rs
@@ -155,7 +155,7 @@
     }
 }
 
-async fn open_link(address: SocketAddr) -> Result<TcpStream, String> {
+pub(crate) async fn open_link(address: SocketAddr) -> Result<TcpStream, String> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_| "connecting timed out".to_string())?
@@ -217,9 +217,9 @@
     }
 }
 
-type FrameStream = Framed<TcpStream, LengthDelimitedCodec>;
+pub(crate) type FrameStream = Framed<TcpStream, LengthDelimitedCodec>;
 
-fn framed(stream: TcpStream) -> FrameStream {
+pub(crate) fn framed(stream: TcpStream) -> FrameStream {
     LengthDelimitedCodec::builder()
         .max_frame_length(MAX_FRAME_BYTES)
         .new_framed(stream)
@@ -242,11 +242,11 @@
         .map_err(|error: std::io::Error| error.to_string())
 }
 
-fn encode(body: FrameBody) -> Bytes {
+pub(crate) fn encode(body: FrameBody) -> Bytes {
     Bytes::from(LinkFrame { body: Some(body) }.encode_to_vec())
 }
 
-fn decode(frame: std::io::Result<BytesMut>) -> Result<FrameBody, String> {
+pub(crate) fn decode(frame: std::io::Result<BytesMut>) -> Result<FrameBody, String> {
     let frame = frame.map_err(|error| error.to_string())?;
     let frame = LinkFrame::decode(frame).map_err(|error| error.to_string())?;
     frame.body.ok_or_else(|| "a frame has no body".to_string())
--- a/crates/runner/src/membership.rs
+++ b/crates/runner/src/membership.rs
@@ -190,6 +190,6 @@
 }
 
 /// Waits until the instance leaves; false if that can no longer be known.
-async fn has_left(is_leaving: &mut watch::Receiver<bool>) -> bool {
+pub(crate) async fn has_left(is_leaving: &mut watch::Receiver<bool>) -> bool {
     is_leaving.wait_for(|is_leaving| *is_leaving).await.is_ok()
 }
--- /dev/null
+++ b/crates/runner/src/mirror.rs
@@ -0,0 +1,230 @@
+//! Copy of the store's entries that an instance passes on to followers of its data centre.
+//!
+//! A reader of the store keeps the copy. Followers get the whole of it once and each change after that,
+//! and at least once in [`CONFIRM_INTERVAL`] a frame that says that the store still answers the reader.
+//! The store's calls, and the bytes between regions, so grow with data centres instead of instances.
+
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use log::info;
+use tokio::sync::Notify;
+use tokio::sync::mpsc::UnboundedSender;
+
+use heatherhollow_ports::StoreChange;
+use heatherhollow_ports::StoreEntry;
+use heatherhollow_ports::StoreRevision;
+
+use crate::frames::EntryFrame;
+use crate::frames::FrameBody;
+use crate::frames::StateFrame;
+use crate::frames::StatePart;
+
+/// Longest time between two frames to a follower; a reader that has followers waits no longer for
+/// changes. Several of them fit into the time in which a configuration has to be in force.
+pub const CONFIRM_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Size from which entries go into another frame, in bytes; bounds what a slow follower buffers.
+const FRAME_BYTES: usize = 32 << 10;
+
+/// Copy of the entries, shared by the task that reads the store and the one that serves links.
+#[derive(Default)]
+pub struct StoreMirror {
+    state: Mutex<MirrorState>,
+    joined: Notify,
+}
+
+#[derive(Default)]
+struct MirrorState {
+    /// Whether this instance reads the store for others.
+    is_reader: bool,
+    /// Whether the store answered the last call.
+    is_current: bool,
+    /// Revision that the entries are of; none before the first list.
+    revision: Option<StoreRevision>,
+    /// Sorted by path; those without a value are removed.
+    entries: Vec<EntryFrame>,
+    followers: Vec<UnboundedSender<FrameBody>>,
+    /// Followers that know a later revision than the copy has, with that revision.
+    ahead: Vec<(u64, UnboundedSender<FrameBody>)>,
+}
+
+impl StoreMirror {
+    /// Starts or ends serving followers.
+    pub fn set_reader(&self, is_reader: bool) {
+        let mut state = self.lock();
+        state.is_reader = is_reader;
+        if !is_reader {
+            state.detach();
+            *state = MirrorState::default();
+        }
+    }
+
+    /// Adds a follower that knows the entries up to a revision.
+    pub fn follow(&self, known: u64, follower: UnboundedSender<FrameBody>) {
+        let mut state = self.lock();
+        if !state.is_reader || (state.revision.is_some() && !state.is_current) {
+            // The link has ended if nobody receives.
+            let _is_received = follower.send(FrameBody::Detached(true)).is_ok();
+            return;
+        }
+        state.ahead.push((known, follower));
+        state.admit();
+        drop(state);
+        self.joined.notify_one();
+    }
+
+    /// Returns once a follower has been added.
+    pub async fn joined(&self) {
+        self.joined.notified().await;
+    }
+
+    /// Whether there are followers.
+    pub fn has_followers(&self) -> bool {
+        let state = self.lock();
+        !(state.followers.is_empty() && state.ahead.is_empty())
+    }
+
+    /// Takes the whole list of entries.
+    pub fn replace(&self, entries: &[StoreEntry], revision: StoreRevision) {
+        let mut state = self.lock();
+        if !state.is_reader {
+            return;
+        }
+        state.entries = entries.iter().map(entry_frame).collect();
+        state.entries.sort_by(|a, b| a.path.cmp(&b.path));
+        state.revision = Some(revision);
+        state.is_current = true;
+        // What followers know may not be in the list any more.
+        let followers = std::mem::take(&mut state.followers);
+        let again = followers.into_iter().map(|follower| (0, follower));
+        state.ahead.extend(again);
+        state.admit();
+    }
+
+    /// Takes changes up to a revision; none of them mean that the store answered.
+    pub fn apply(&self, changes: &[StoreChange], revision: StoreRevision) {
+        let mut state = self.lock();
+        if !state.is_reader || state.revision.is_none() {
+            return;
+        }
+        let frames = changes.iter().map(change_frame).collect::<Vec<_>>();
+        for frame in &frames {
+            state.take(frame.clone());
+        }
+        state.revision = Some(revision);
+        state.is_current = true;
+        let body = FrameBody::State(StateFrame {
+            part: StatePart::Changes as i32,
+            revision: revision.0,
+            entries: frames,
+        });
+        state
+            .followers
+            .retain(|follower| follower.send(body.clone()).is_ok());
+        state.admit();
+    }
+
+    /// The store does not answer: followers may find another reader whom it answers.
+    pub fn detach(&self) {
+        self.lock().detach();
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, MirrorState> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+}
+
+impl MirrorState {
+    fn detach(&mut self) {
+        self.is_current = false;
+        let count = self.followers.len() + self.ahead.len();
+        if count > 0 {
+            info!("followers_detached count={count}");
+        }
+        let ahead = std::mem::take(&mut self.ahead);
+        let ahead = ahead.into_iter().map(|(_, follower)| follower);
+        for follower in self.followers.drain(..).chain(ahead) {
+            let _is_received = follower.send(FrameBody::Detached(true)).is_ok();
+        }
+    }
+
+    fn take(&mut self, frame: EntryFrame) {
+        let found = self
+            .entries
+            .binary_search_by(|known| known.path.cmp(&frame.path));
+        match (found, frame.value.is_some()) {
+            (Ok(i), true) => self.entries[i] = frame,
+            (Ok(i), false) => {
+                self.entries.remove(i);
+            }
+            (Err(i), true) => self.entries.insert(i, frame),
+            (Err(_), false) => {}
+        }
+    }
+
+    /// Sends the entries to followers that know no later ones.
+    fn admit(&mut self) {
+        let Some(revision) = self.revision else {
+            return;
+        };
+        let (ready, ahead) = std::mem::take(&mut self.ahead)
+            .into_iter()
+            .partition::<Vec<_>, _>(|(known, _)| *known <= revision.0);
+        self.ahead = ahead;
+        if ready.is_empty() {
+            return;
+        }
+        let frames = snapshot_frames(&self.entries, revision);
+        for (_, follower) in ready {
+            let is_received = frames
+                .iter()
+                .all(|frame| follower.send(FrameBody::State(frame.clone())).is_ok());
+            if is_received {
+                self.followers.push(follower);
+            }
+        }
+    }
+}
+
+/// The entries in frames of bounded size, the last of which says that it is the last.
+fn snapshot_frames(entries: &[EntryFrame], revision: StoreRevision) -> Vec<StateFrame> {
+    let mut frames = Vec::new();
+    let mut part = Vec::new();
+    let mut size = 0;
+    for entry in entries {
+        size += entry.path.len() + entry.value.as_ref().map_or(0, Bytes::len);
+        part.push(entry.clone());
+        if size >= FRAME_BYTES {
+            frames.push(StateFrame {
+                part: StatePart::Snapshot as i32,
+                revision: revision.0,
+                entries: std::mem::take(&mut part),
+            });
+            size = 0;
+        }
+    }
+    frames.push(StateFrame {
+        part: StatePart::SnapshotEnd as i32,
+        revision: revision.0,
+        entries: part,
+    });
+    frames
+}
+
+fn entry_frame(entry: &StoreEntry) -> EntryFrame {
+    EntryFrame {
+        path: entry.path.clone(),
+        value: Some(Bytes::from(entry.value.clone())),
+        revision: entry.revision.0,
+    }
+}
+
+fn change_frame(change: &StoreChange) -> EntryFrame {
+    EntryFrame {
+        path: change.path.clone(),
+        value: change.value.clone().map(Bytes::from),
+        revision: change.revision.0,
+    }
+}
--- /dev/null
+++ b/crates/runner/src/readers.rs
@@ -0,0 +1,205 @@
+//! Which instances of a data centre read the store: a few that hold a place each, with a lease.
+//!
+//! An instance that starts looks at the places of its data centre, takes a free one, or follows one of
+//! the holders. Places of a run that has just ended are found again by their instance.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+use rand::seq::SliceRandom;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use heatherhollow_ports::LeaseId;
+use heatherhollow_ports::StoreError;
+use heatherhollow_ports::StorePort;
+use heatherhollow_ports::StoreRevision;
+use heatherhollow_ports::SwapReply;
+use heatherhollow_types::DataCentre;
+
+use crate::membership::has_left;
+
+/// Prefix of the places.
+const READERS_PREFIX: &str = "heatherhollow/readers/";
+
+/// Places in a data centre. One holder may be frozen, one cut off from the store and one stopping, and
+/// followers still find another at once.
+pub const READER_PLACES: usize = 4;
+
+/// Renewals of a place's lease in its span.
+const RENEWALS: u32 = 3;
+
+/// What a holder writes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ReaderValue {
+    /// The instance.
+    pub instance: String,
+    /// Its address for followers.
+    pub address: SocketAddr,
+}
+
+/// How an instance learns what is in the store.
+pub enum ReaderChoice {
+    /// It reads the store and holds a place.
+    Reads(ReaderPlace),
+    /// It follows one of these, in this order.
+    Follows(Vec<SocketAddr>),
+}
+
+/// A place that this instance holds until it is dropped.
+pub struct ReaderPlace {
+    is_held: Arc<AtomicBool>,
+    renewal: JoinHandle<()>,
+}
+
+impl ReaderPlace {
+    /// Whether the place is still held.
+    pub fn is_held(&self) -> bool {
+        self.is_held.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for ReaderPlace {
+    fn drop(&mut self) {
+        self.renewal.abort();
+    }
+}
+
+/// The places of a data centre.
+pub struct ReaderPlaces {
+    /// The store.
+    pub store: Arc<dyn StorePort>,
+    /// Data centre.
+    pub data_centre: DataCentre,
+    /// What this instance writes.
+    pub own: ReaderValue,
+    /// Lease of a place.
+    pub lease: Duration,
+    /// Becomes true when the instance leaves.
+    pub is_leaving: watch::Receiver<bool>,
+}
+
+impl ReaderPlaces {
+    /// Takes a free place, or tells whom to follow.
+    pub async fn choose(&self) -> Result<ReaderChoice, StoreError> {
+        let prefix = format!("{READERS_PREFIX}{}/", self.data_centre);
+        let (entries, _) = self.store.list(&prefix).await?;
+        let mut others = Vec::new();
+        let mut own = None;
+        let mut free = Vec::new();
+        for place in 0..READER_PLACES {
+            let path = format!("{prefix}{place}");
+            match entries.iter().find(|entry| entry.path == path) {
+                Some(entry) => match decode(&entry.path, &entry.value) {
+                    Some(value) if value.instance == self.own.instance => {
+                        own = Some((path, Some(entry.revision)));
+                    }
+                    Some(value) => others.push(value.address),
+                    // An entry that cannot be read names nobody.
+                    None => free.push((path, Some(entry.revision))),
+                },
+                None => free.push((path, None)),
+            }
+        }
+        free.shuffle(&mut rand::rng());
+        others.shuffle(&mut rand::rng());
+        if let Some((path, expected)) = own.or_else(|| free.pop()) {
+            match self.take(&path, expected).await? {
+                Ok(place) => return Ok(ReaderChoice::Reads(place)),
+                Err(holder) => others.extend(holder),
+            }
+        }
+        Ok(ReaderChoice::Follows(others))
+    }
+
+    /// The place and the address of its holder, if an entry is one of the data centre's places.
+    pub fn decode_reader(&self, path: &str, value: Option<&[u8]>) -> Option<(String, SocketAddr)> {
+        let rest = path.strip_prefix(READERS_PREFIX)?;
+        let data_centre = rest.rsplit_once('/')?.0;
+        if data_centre != self.data_centre.to_string() {
+            return None;
+        }
+        let value = decode(path, value?)?;
+        Some((path.to_string(), value.address))
+    }
+
+    /// Takes a place; the address of its holder if another instance was faster.
+    async fn take(
+        &self,
+        path: &str,
+        expected: Option<StoreRevision>,
+    ) -> Result<Result<ReaderPlace, Option<SocketAddr>>, StoreError> {
+        let value = serde_json::to_vec(&self.own)
+            .map_err(|error| StoreError::Rejected(error.to_string()))?;
+        let lease = self.store.grant_lease(self.lease).await?;
+        let swapped = self
+            .store
+            .compare_and_swap(path, expected, value, Some(lease))
+            .await?;
+        if let SwapReply::Conflict(holder) = swapped {
+            let holder = holder
+                .as_ref()
+                .and_then(|entry| decode(&entry.path, &entry.value));
+            return Ok(Err(holder.map(|holder| holder.address)));
+        }
+        info!("reader_place_taken path={path}");
+        let is_held = Arc::new(AtomicBool::new(true));
+        let renewal = tokio::spawn(keep_place(
+            self.store.clone(),
+            lease,
+            self.lease,
+            is_held.clone(),
+            self.is_leaving.clone(),
+        ));
+        Ok(Ok(ReaderPlace { is_held, renewal }))
+    }
+}
+
+fn decode(path: &str, value: &[u8]) -> Option<ReaderValue> {
+    match serde_json::from_slice(value) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            let error = error.to_string();
+            warn!("reader_entry_unusable path={path:?} error={error:?}");
+            None
+        }
+    }
+}
+
+/// Renews a place's lease until it ends, or gives it up when the instance leaves.
+async fn keep_place(
+    store: Arc<dyn StorePort>,
+    lease: LeaseId,
+    span: Duration,
+    is_held: Arc<AtomicBool>,
+    mut is_leaving: watch::Receiver<bool>,
+) {
+    loop {
+        tokio::select! {
+            has_left = has_left(&mut is_leaving) => {
+                if has_left && let Err(error) = store.end_lease(lease).await {
+                    // It ends by itself after its span.
+                    info!("reader_lease_not_ended error={:?}", error.to_string());
+                }
+                return;
+            }
+            () = tokio::time::sleep(span / RENEWALS) => {}
+        }
+        match store.renew_lease(lease).await {
+            Ok(()) => {}
+            Err(StoreError::LeaseEnded) => {
+                info!("reader_place_ended");
+                is_held.store(false, Ordering::Relaxed);
+                return;
+            }
+            Err(error) => info!("reader_lease_not_renewed error={:?}", error.to_string()),
+        }
+    }
+}
--- a/crates/runner/src/run.rs
+++ b/crates/runner/src/run.rs
@@ -44,11 +44,15 @@
 use crate::membership::keep_entry;
 use crate::metrics::MetricsStatistics;
 use crate::metrics::RunnerMetrics;
+use crate::mirror::StoreMirror;
+use crate::readers::ReaderPlaces;
+use crate::readers::ReaderValue;
 use crate::settings::InstanceSettings;
 use crate::status::StatusPage;
 use crate::status::serve_status;
 use crate::targets::run_connection;
 use crate::watch::StoreWatch;
+use crate::watch::WatchParts;
 
 /// What an instance runs on.
 pub struct RunnerParts {
@@ -153,15 +157,27 @@
         .local_addr()
         .map_err(|error| RunError::Listen(settings.link_listen, error))?;
     tokio::spawn(accept_links(links, events.clone()));
-    let watch = StoreWatch::new(
-        parts.store.clone(),
-        parts.catalog.clone(),
-        events.clone(),
-        settings.watch_wait,
-    );
-    tokio::spawn(watch.run());
     let name = settings.identity.name.clone();
     let (leaving, is_leaving) = watch::channel(false);
+    let mirror = Arc::new(StoreMirror::default());
+    let watch = StoreWatch::new(WatchParts {
+        store: parts.store.clone(),
+        format: parts.catalog.clone(),
+        events: events.clone(),
+        places: ReaderPlaces {
+            store: parts.store.clone(),
+            data_centre: settings.identity.data_centre.clone(),
+            own: ReaderValue {
+                instance: name.clone(),
+                address: link_address,
+            },
+            lease: settings.member_lease,
+            is_leaving: is_leaving.clone(),
+        },
+        mirror: mirror.clone(),
+        wait: settings.watch_wait,
+    });
+    tokio::spawn(watch.run());
     let member = MemberValue {
         address: link_address,
         data_centre: settings.identity.data_centre.clone(),
@@ -187,7 +203,7 @@
         events,
         clients: Vec::new(),
         targets: Vec::new(),
-        links: LinkTable::new(ids),
+        links: LinkTable::new(ids, mirror),
         leaving,
         duty: Arc::new(duty),
         page,
