Confirm readers of the store by renewals of their place

Change: the holder of a place renews its lease each second, at a tenth of the price, and passes that on; watches wait 4 s.

--- a/crates/runner/src/follow.rs
+++ b/crates/runner/src/follow.rs
@@ -23,8 +23,9 @@
 use crate::links::open_link;
 use crate::mirror::CONFIRM_INTERVAL;
 
-/// Time without a frame after which a reader counts as lost: two confirmations are missing. Another
-/// reader is then asked, well within the time in which a configuration has to be in force.
+/// Time without a frame after which a reader counts as lost: a confirmation is missing, or its answer
+/// took as long as the store may be slow. Another reader is then asked, within the time in which a
+/// configuration has to be in force.
 const SILENCE_LIMIT: Duration = CONFIRM_INTERVAL.saturating_mul(2);
 
 /// What a reader sends.
--- a/crates/runner/src/membership.rs
+++ b/crates/runner/src/membership.rs
@@ -36,7 +36,7 @@
 const REENTRY_PAUSE: Duration = Duration::from_millis(500);
 
 /// Longest pause after a failed call; calls to a store that is down cost as much as others.
-const FAILURE_PAUSE: Duration = Duration::from_secs(3);
+const FAILURE_PAUSE: Duration = Duration::from_secs(5);
 
 /// What an instance writes about itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/runner/src/mirror.rs
+++ b/crates/runner/src/mirror.rs
@@ -1,15 +1,14 @@
 //! Copy of the store's entries that an instance passes on to followers of its data centre.
 //!
-//! A reader of the store keeps the copy. Followers get the whole of it once and each change after that,
-//! and at least once in [`CONFIRM_INTERVAL`] a frame that says that the store still answers the reader.
-//! The store's calls, and the bytes between regions, so grow with data centres instead of instances.
+//! A reader of the store keeps the copy. Followers get the whole of it once, each change after that, and
+//! in each [`CONFIRM_INTERVAL`] a frame that says that the store still answers the reader. The store's
+//! calls, and the bytes between regions, so grow with data centres instead of instances.
 
 use std::sync::Mutex;
 use std::time::Duration;
 
 use bytes::Bytes;
 use log::info;
-use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 
 use heatherhollow_ports::StoreChange;
@@ -21,8 +20,8 @@
 use crate::frames::StateFrame;
 use crate::frames::StatePart;
 
-/// Longest time between two frames to a follower; a reader that has followers waits no longer for
-/// changes. Several of them fit into the time in which a configuration has to be in force.
+/// Time between two confirmations. Several of them fit into the time in which a configuration has to be
+/// in force.
 pub const CONFIRM_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Size from which entries go into another frame, in bytes; bounds what a slow follower buffers.
@@ -30,17 +29,16 @@
 
 /// Copy of the entries, shared by the task that reads the store and the one that serves links.
 #[derive(Default)]
-pub struct StoreMirror {
-    state: Mutex<MirrorState>,
-    joined: Notify,
-}
+pub struct StoreMirror(Mutex<MirrorState>);
 
 #[derive(Default)]
 struct MirrorState {
     /// Whether this instance reads the store for others.
     is_reader: bool,
-    /// Whether the store answered the last call.
-    is_current: bool,
+    /// Whether the store answered the last watch.
+    is_watched: bool,
+    /// Whether the store answered the last renewal of the reader's place.
+    is_confirmed: bool,
     /// Revision that the entries are of; none before the first list.
     revision: Option<StoreRevision>,
     /// Sorted by path; those without a value are removed.
@@ -51,39 +49,29 @@
 }
 
 impl StoreMirror {
-    /// Starts or ends serving followers.
+    /// Starts or ends serving followers. The store has just answered one that starts.
     pub fn set_reader(&self, is_reader: bool) {
         let mut state = self.lock();
-        state.is_reader = is_reader;
         if !is_reader {
             state.detach();
-            *state = MirrorState::default();
         }
+        *state = MirrorState {
+            is_reader,
+            is_confirmed: is_reader,
+            ..MirrorState::default()
+        };
     }
 
     /// Adds a follower that knows the entries up to a revision.
     pub fn follow(&self, known: u64, follower: UnboundedSender<FrameBody>) {
         let mut state = self.lock();
-        if !state.is_reader || (state.revision.is_some() && !state.is_current) {
+        if !state.is_reader || (state.revision.is_some() && !state.is_current()) {
             // The link has ended if nobody receives.
             let _is_received = follower.send(FrameBody::Detached(true)).is_ok();
             return;
         }
         state.ahead.push((known, follower));
         state.admit();
-        drop(state);
-        self.joined.notify_one();
-    }
-
-    /// Returns once a follower has been added.
-    pub async fn joined(&self) {
-        self.joined.notified().await;
-    }
-
-    /// Whether there are followers.
-    pub fn has_followers(&self) -> bool {
-        let state = self.lock();
-        !(state.followers.is_empty() && state.ahead.is_empty())
     }
 
     /// Takes the whole list of entries.
@@ -95,7 +83,7 @@
         state.entries = entries.iter().map(entry_frame).collect();
         state.entries.sort_by(|a, b| a.path.cmp(&b.path));
         state.revision = Some(revision);
-        state.is_current = true;
+        state.is_watched = true;
         // What followers know may not be in the list any more.
         let followers = std::mem::take(&mut state.followers);
         let again = followers.into_iter().map(|follower| (0, follower));
@@ -103,7 +91,7 @@
         state.admit();
     }
 
-    /// Takes changes up to a revision; none of them mean that the store answered.
+    /// Takes changes up to a revision.
     pub fn apply(&self, changes: &[StoreChange], revision: StoreRevision) {
         let mut state = self.lock();
         if !state.is_reader || state.revision.is_none() {
@@ -114,31 +102,57 @@
             state.take(frame.clone());
         }
         state.revision = Some(revision);
-        state.is_current = true;
-        let body = FrameBody::State(StateFrame {
-            part: StatePart::Changes as i32,
-            revision: revision.0,
-            entries: frames,
-        });
-        state
-            .followers
-            .retain(|follower| follower.send(body.clone()).is_ok());
+        state.is_watched = true;
+        if !frames.is_empty() {
+            state.send(frames);
+        }
         state.admit();
     }
 
-    /// The store does not answer: followers may find another reader whom it answers.
-    pub fn detach(&self) {
-        self.lock().detach();
+    /// The store answered a renewal of the reader's place.
+    pub fn confirm(&self) {
+        let mut state = self.lock();
+        state.is_confirmed = true;
+        if state.is_current() {
+            state.send(Vec::new());
+        }
+    }
+
+    /// The store did not answer a renewal: followers may find another reader whom it answers.
+    pub fn lose_confirmation(&self) {
+        let mut state = self.lock();
+        state.is_confirmed = false;
+        state.detach();
+    }
+
+    /// The store did not answer a watch.
+    pub fn lose_watch(&self) {
+        let mut state = self.lock();
+        state.is_watched = false;
+        state.detach();
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, MirrorState> {
-        self.state.lock().expect("no holder of the lock panics")
+        self.0.lock().expect("no holder of the lock panics")
     }
 }
 
 impl MirrorState {
+    fn is_current(&self) -> bool {
+        self.is_watched && self.is_confirmed
+    }
+
+    fn send(&mut self, entries: Vec<EntryFrame>) {
+        let body = FrameBody::State(StateFrame {
+            part: StatePart::Changes as i32,
+            revision: self.revision.unwrap_or_default().0,
+            entries,
+        });
+        self.followers
+            .retain(|follower| follower.send(body.clone()).is_ok());
+    }
+
     fn detach(&mut self) {
-        self.is_current = false;
         let count = self.followers.len() + self.ahead.len();
         if count > 0 {
             info!("followers_detached count={count}");
--- a/crates/runner/src/readers.rs
+++ b/crates/runner/src/readers.rs
@@ -25,6 +25,8 @@
 use heatherhollow_types::DataCentre;
 
 use crate::membership::has_left;
+use crate::mirror::CONFIRM_INTERVAL;
+use crate::mirror::StoreMirror;
 
 /// Prefix of the places.
 const READERS_PREFIX: &str = "heatherhollow/readers/";
@@ -33,9 +35,6 @@
 /// followers still find another at once.
 pub const READER_PLACES: usize = 4;
 
-/// Renewals of a place's lease in its span.
-const RENEWALS: u32 = 3;
-
 /// What a holder writes.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ReaderValue {
@@ -84,6 +83,8 @@
     pub lease: Duration,
     /// Becomes true when the instance leaves.
     pub is_leaving: watch::Receiver<bool>,
+    /// Copy for followers, which renewals of the place confirm.
+    pub mirror: Arc<StoreMirror>,
 }
 
 impl ReaderPlaces {
@@ -151,13 +152,13 @@
         }
         info!("reader_place_taken path={path}");
         let is_held = Arc::new(AtomicBool::new(true));
-        let renewal = tokio::spawn(keep_place(
-            self.store.clone(),
+        let keeper = PlaceKeeper {
+            store: self.store.clone(),
             lease,
-            self.lease,
-            is_held.clone(),
-            self.is_leaving.clone(),
-        ));
+            is_held: is_held.clone(),
+            mirror: self.mirror.clone(),
+        };
+        let renewal = tokio::spawn(keeper.run(self.is_leaving.clone()));
         Ok(Ok(ReaderPlace { is_held, renewal }))
     }
 }
@@ -173,33 +174,42 @@
     }
 }
 
-/// Renews a place's lease until it ends, or gives it up when the instance leaves.
-async fn keep_place(
+/// Renews the lease of a place.
+struct PlaceKeeper {
     store: Arc<dyn StorePort>,
     lease: LeaseId,
-    span: Duration,
     is_held: Arc<AtomicBool>,
-    mut is_leaving: watch::Receiver<bool>,
-) {
-    loop {
-        tokio::select! {
-            has_left = has_left(&mut is_leaving) => {
-                if has_left && let Err(error) = store.end_lease(lease).await {
-                    // It ends by itself after its span.
-                    info!("reader_lease_not_ended error={:?}", error.to_string());
+    mirror: Arc<StoreMirror>,
+}
+
+impl PlaceKeeper {
+    /// Renews the lease until it ends, or gives it up when the instance leaves.
+    ///
+    /// A renewal costs a tenth of other calls, so it also shows followers that the store answers.
+    async fn run(self, mut is_leaving: watch::Receiver<bool>) {
+        loop {
+            tokio::select! {
+                has_left = has_left(&mut is_leaving) => {
+                    if has_left && let Err(error) = self.store.end_lease(self.lease).await {
+                        // It ends by itself after its span.
+                        info!("reader_lease_not_ended error={:?}", error.to_string());
+                    }
+                    return;
                 }
-                return;
+                () = tokio::time::sleep(CONFIRM_INTERVAL) => {}
             }
-            () = tokio::time::sleep(span / RENEWALS) => {}
-        }
-        match store.renew_lease(lease).await {
-            Ok(()) => {}
-            Err(StoreError::LeaseEnded) => {
-                info!("reader_place_ended");
-                is_held.store(false, Ordering::Relaxed);
-                return;
+            match self.store.renew_lease(self.lease).await {
+                Ok(()) => self.mirror.confirm(),
+                Err(StoreError::LeaseEnded) => {
+                    info!("reader_place_ended");
+                    self.is_held.store(false, Ordering::Relaxed);
+                    return;
+                }
+                Err(error) => {
+                    info!("reader_lease_not_renewed error={:?}", error.to_string());
+                    self.mirror.lose_confirmation();
+                }
             }
-            Err(error) => info!("reader_lease_not_renewed error={:?}", error.to_string()),
         }
     }
 }
--- a/crates/runner/src/run.rs
+++ b/crates/runner/src/run.rs
@@ -173,6 +173,7 @@
             },
             lease: settings.member_lease,
             is_leaving: is_leaving.clone(),
+            mirror: mirror.clone(),
         },
         mirror: mirror.clone(),
         wait: settings.watch_wait,
--- a/crates/runner/src/settings.rs
+++ b/crates/runner/src/settings.rs
@@ -30,8 +30,8 @@
     /// Time until two readiness probes have failed and no new sessions arrive; the platform probes once
     /// a second.
     pub leave_notice: Duration,
-    /// Longest wait of a watch. An answer that is lost is noticed after it, and a configuration has to be
-    /// in force within 3 s.
+    /// Longest wait of a watch. An answer that is lost is noticed after it and 1.5 s more; instances that
+    /// cannot be reached count as out of touch for as long.
     pub watch_wait: Duration,
     /// Lease of the promotion duty. Long enough for the steps of a promotion, short enough that the
     /// duty of a dead instance is free soon.
@@ -58,7 +58,7 @@
             stop_grace: Duration::from_secs(6),
             drain_bound: Duration::from_secs(7),
             leave_notice: Duration::from_millis(2_200),
-            watch_wait: Duration::from_secs(2),
+            watch_wait: Duration::from_secs(4),
             duty_lease: Duration::from_millis(2_500),
             member_lease: Duration::from_secs(8),
         }
--- a/crates/runner/src/watch.rs
+++ b/crates/runner/src/watch.rs
@@ -31,7 +31,6 @@
 use crate::formats::StoreValue;
 use crate::membership::MEMBERS_PREFIX;
 use crate::membership::MemberList;
-use crate::mirror::CONFIRM_INTERVAL;
 use crate::mirror::StoreMirror;
 use crate::readers::ReaderChoice;
 use crate::readers::ReaderPlace;
@@ -74,7 +73,7 @@
     pub places: ReaderPlaces,
     /// Copy for followers.
     pub mirror: Arc<StoreMirror>,
-    /// Longest wait of a watch without followers.
+    /// Longest wait of a watch.
     pub wait: Duration,
 }
 
@@ -236,19 +235,18 @@
         };
         while goes_on() && !self.parts.events.is_closed() {
             match self.step(after).await {
-                Ok(Some(next)) => {
+                Ok(next) => {
                     self.note_answer();
                     after = Some(next);
                     self.revision = Some(next);
                 }
-                Ok(None) => {}
                 Err(StoreError::HistoryGone) => {
                     info!("store_history_gone");
                     after = None;
                 }
                 Err(error) => {
                     self.note_failure(&error);
-                    self.parts.mirror.detach();
+                    self.parts.mirror.lose_watch();
                     let readers = self.known_readers();
                     let has_followed =
                         self.failures >= FAILED_READS && self.follow_any(readers).await;
@@ -264,29 +262,20 @@
         self.parts.mirror.set_reader(false);
     }
 
-    /// Reads the list, or waits for changes after a revision; none if the wait has to be shorter, since
-    /// a follower has come.
-    async fn step(
-        &mut self,
-        after: Option<StoreRevision>,
-    ) -> Result<Option<StoreRevision>, StoreError> {
+    /// Reads the list, or waits for changes after a revision.
+    async fn step(&mut self, after: Option<StoreRevision>) -> Result<StoreRevision, StoreError> {
         let prefix = self.parts.format.watched_prefix();
         let Some(after) = after else {
             let (entries, revision) = self.parts.store.list(prefix).await?;
             self.parts.mirror.replace(&entries, revision);
             self.replace_all(entries);
-            return Ok(Some(revision));
-        };
-        let has_followers = self.parts.mirror.has_followers();
-        let wait = if has_followers {
-            self.parts.wait.min(CONFIRM_INTERVAL)
-        } else {
-            self.parts.wait
-        };
-        let changes = tokio::select! {
-            changes = self.parts.store.watch(prefix, after, wait) => changes?,
-            () = self.parts.mirror.joined(), if !has_followers => return Ok(None),
+            return Ok(revision);
         };
+        let changes = self
+            .parts
+            .store
+            .watch(prefix, after, self.parts.wait)
+            .await?;
         let last = changes.iter().map(|change| change.revision).max();
         let next = last.map_or(after, |last| last.max(after));
         self.parts.mirror.apply(&changes, next);
@@ -294,7 +283,7 @@
         if last.is_some() && !is_urgent {
             sleep(GATHER_PAUSE).await;
         }
-        Ok(Some(next))
+        Ok(next)
     }
 
     fn replace_all(&mut self, entries: Vec<StoreEntry>) {
