Limit statements in progress at a target to what it takes

Cause: after a loss of power each home opened all of its connections to each target and sent on all of them: up to 108 statements for three slots.

Change: an instance has as many statements in progress at a target as it takes (additive increase, multiplicative decrease on a refusal for lack of room); connections are opened only for statements for which there is room.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -33,6 +33,19 @@
 use crate::statement::Statement;
 use crate::statistics::LatencyKind;
 
+/// What became of a statement that was offered to a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum TargetOffer {
+    /// It got a connection.
+    Lent,
+    /// It waits for a connection that has to be opened.
+    Open,
+    /// It waits for room at the target.
+    Wait,
+    /// It cannot start in time.
+    TooLate,
+}
+
 impl SessionGateway {
     /// Lends idle connections to waiting statements and opens connections that are missing.
     pub(crate) fn dispatch(&mut self, group: GroupIndex, now: MonoTime) {
@@ -51,6 +64,7 @@
             request.map(|request| request.urgency())
         });
         let mut demand = vec![0_usize; self.groups[group.0].lanes.len()];
+        let mut wanted = demand.clone();
         let mut waiting = Vec::new();
         for client in order {
             let Some(session) = self.client(client) else {
@@ -58,19 +72,15 @@
             };
             match self.place_request(group, session, &demand, now) {
                 Placement::Target(target) => {
-                    let lane = self.groups[group.0].lane(target);
                     let ahead = demand[target.as_usize()];
-                    let request = session.request.as_ref();
-                    match lane.and_then(|lane| lane.idle_for(session)) {
-                        Some(connection) => self.lend(group, connection, client, now),
-                        None if request.is_some_and(|request| {
-                            self.is_too_late(group, target, request, ahead, now)
-                        }) =>
-                        {
+                    match self.offer(group, target, client, ahead, now) {
+                        TargetOffer::Lent => {}
+                        TargetOffer::TooLate => {
                             self.refuse_late(client, RefusalReason::DeadlinePassed, now);
                         }
-                        None => {
+                        offer => {
                             demand[target.as_usize()] += 1;
+                            wanted[target.as_usize()] += usize::from(offer == TargetOffer::Open);
                             waiting.push(client);
                         }
                     }
@@ -83,11 +93,39 @@
         waiting.append(&mut self.groups[group.0].queue);
         self.groups[group.0].queue = waiting;
         self.probe_for_reads(group, now);
-        for (i, wanted) in demand.into_iter().enumerate() {
+        for (i, wanted) in wanted.into_iter().enumerate() {
             self.open_wanted(group, index_of(i), wanted, now);
         }
     }
 
+    /// Lends a connection to a target to a statement, if one is idle and the target has room.
+    fn offer(
+        &mut self,
+        group: GroupIndex,
+        target: TargetIndex,
+        client: ClientId,
+        ahead: usize,
+        now: MonoTime,
+    ) -> TargetOffer {
+        let (Some(session), Some(lane)) = (self.client(client), self.groups[group.0].lane(target))
+        else {
+            return TargetOffer::Wait;
+        };
+        let has_room = lane.has_room();
+        if has_room && let Some(connection) = lane.idle_for(session) {
+            self.lend(group, connection, client, now);
+            return TargetOffer::Lent;
+        }
+        let request = session.request.as_ref();
+        if request.is_some_and(|request| self.is_too_late(group, target, request, ahead, now)) {
+            TargetOffer::TooLate
+        } else if has_room {
+            TargetOffer::Open
+        } else {
+            TargetOffer::Wait
+        }
+    }
+
     /// Asks replicas that have not answered for a while for their position, if reads wait: they may be
     /// fresh enough although others lag.
     pub(crate) fn probe_for_reads(&mut self, group: GroupIndex, now: MonoTime) {
--- a/crates/gateway/src/lane.rs
+++ b/crates/gateway/src/lane.rs
@@ -4,6 +4,8 @@
 use std::fmt;
 use std::time::Duration;
 
+use heatherhollow_limits::AdaptiveLimit;
+use heatherhollow_limits::AdaptiveSettings;
 use heatherhollow_limits::FailureRate;
 use heatherhollow_limits::SmoothedTime;
 use heatherhollow_limits::WindowMaximum;
@@ -182,6 +184,10 @@
     }
 }
 
+/// Least number of statements that an instance has in progress at a target of which it knows nothing:
+/// one runs while the next one travels.
+const MIN_INITIAL_LIMIT: u32 = 2;
+
 /// Time over which the best rate of a target is remembered; longer than a failover, shorter than a
 /// change of the load usually takes.
 const RATE_WINDOW: Duration = Duration::from_secs(10);
@@ -234,6 +240,8 @@
     pub connections: Vec<TargetConnection>,
     pub control: VecDeque<ControlJob>,
     pub statement_time: SmoothedTime,
+    /// Statements in progress that it takes from this instance.
+    pub statement_limit: AdaptiveLimit,
     /// Rate at which all its connections together serve statements.
     pub service_rate: ServiceRate,
     /// Share of statements that failed.
@@ -260,8 +268,13 @@
 
 impl TargetLane {
     pub fn new(entry: TargetEntry) -> Self {
+        let statement_limit = AdaptiveLimit::new(AdaptiveSettings {
+            initial: f64::from(entry.slots.max(MIN_INITIAL_LIMIT)),
+            ..AdaptiveSettings::default()
+        });
         Self {
             entry,
+            statement_limit,
             missing_since: None,
             leaving_since: None,
             connections: Vec::new(),
@@ -285,6 +298,7 @@
     pub fn record_statement(&mut self, took: Duration, now: MonoTime) {
         self.statement_time.record(took, now);
         let ready = self.connections.len() - self.opening();
+        let ready = ready.min(self.statement_limit.value());
         self.service_rate.record(took, ready, now);
     }
 
@@ -324,6 +338,24 @@
         self.connections.iter_mut().find(|c| c.id == id)
     }
 
+    /// Whether it takes one more statement, as far as is known.
+    pub fn has_room(&self) -> bool {
+        self.statement_limit.allows(self.in_progress())
+    }
+
+    /// Whether a statement can be sent to it now.
+    pub fn is_free(&self) -> bool {
+        self.has_room() && self.any_idle().is_some()
+    }
+
+    /// Connections with a call in progress; those that rest in a transaction occupy nothing.
+    pub fn in_progress(&self) -> usize {
+        self.connections
+            .iter()
+            .filter(|c| c.phase == ConnectionPhase::Ready && !c.calls.is_empty())
+            .count()
+    }
+
     /// The idle connection that takes the least setup for a session.
     pub fn idle_for(&self, session: &ClientSession) -> Option<ConnectionId> {
         self.connections
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -100,8 +100,7 @@
         match choice {
             // The cheapest target may have no connection free while another one has.
             RouteChoice::Go(target) => {
-                let has_idle = |lane: &TargetLane| lane.any_idle().is_some();
-                let is_free = state.lane(target).is_some_and(has_idle);
+                let is_free = state.lane(target).is_some_and(TargetLane::is_free);
                 let other = idle_replica(state, &views).filter(|_| !is_free);
                 Placement::Target(other.unwrap_or(target))
             }
@@ -157,6 +156,7 @@
         let is_unusable_primary =
             is_primary && usable_primary(state, now, self.settings.leaving_limit).is_none();
         let share = state.share(self.holders(state)).max(lane.connections.len());
+        let share = share.min(lane.statement_limit.value());
         let measured = lane.statement_time.value(now);
         TargetView {
             target,
@@ -185,7 +185,7 @@
         .filter(|view| !view.is_primary && !view.is_leaving && !view.is_suspected)
         .filter(|view| {
             let lane = state.lane(view.target);
-            lane.is_some_and(|lane| lane.any_idle().is_some())
+            lane.is_some_and(TargetLane::is_free)
         })
         .min_by_key(|view| (view.in_flight, view.is_remote))
         .map(|view| view.target)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -193,6 +193,10 @@
             lane.record_statement(now.since(sent_at), now);
             let has_failed = answer.error() == Some(&TargetCode::Failed);
             lane.failure_rate.record(has_failed, now);
+            if answer.is_success() {
+                let others = lane.in_progress();
+                lane.statement_limit.taken(others + 1);
+            }
         }
         if !answer.is_success() {
             self.fail_statement(place, client, answer, now);
@@ -502,7 +506,10 @@
             return;
         };
         match answer.error() {
-            Some(TargetCode::Busy) => lane.rest_until = now + rest,
+            Some(TargetCode::Busy) => {
+                lane.rest_until = now + rest;
+                lane.statement_limit.refused(now);
+            }
             Some(TargetCode::ReadOnly) if is_primary => {
                 info!(
                     "primary_read_only group={} target={}",
--- /dev/null
+++ b/crates/limits/src/adaptive.rs
@@ -0,0 +1,95 @@
+//! Limit of calls in progress that follows what the other side takes.
+
+use std::time::Duration;
+
+use heatherhollow_types::MonoTime;
+
+/// Settings of an [`AdaptiveLimit`].
+#[derive(Debug, Clone, PartialEq)]
+pub struct AdaptiveSettings {
+    /// Limit before anything is known, in calls.
+    pub initial: f64,
+    /// Least limit, in calls; one keeps learning whether the other side takes more.
+    pub floor: f64,
+    /// Greatest limit, in calls.
+    pub ceiling: f64,
+    /// Part of the limit that is left after a refusal.
+    pub decrease: f64,
+    /// Time after a decrease in which further refusals count as answers to calls made before it.
+    pub settle_time: Duration,
+}
+
+impl Default for AdaptiveSettings {
+    fn default() -> Self {
+        Self {
+            initial: 4.0,
+            floor: 1.0,
+            ceiling: 64.0,
+            decrease: 0.7,
+            settle_time: Duration::from_millis(50),
+        }
+    }
+}
+
+/// Limit of calls in progress: it rises by one for each round of calls that are taken while it is used
+/// up, and falls by a part when one is refused for lack of room (additive increase, multiplicative
+/// decrease). Callers that share a target so come to equal shares without talking to each other.
+///
+/// ```
+/// use heatherhollow_limits::AdaptiveLimit;
+/// use heatherhollow_limits::AdaptiveSettings;
+/// use heatherhollow_types::MonoTime;
+/// let mut limit = AdaptiveLimit::new(AdaptiveSettings::default());
+/// assert!(limit.allows(3) && !limit.allows(4));
+/// limit.refused(MonoTime::from_millis(100));
+/// assert!(limit.allows(1) && !limit.allows(2));
+/// for _ in 0..6 {
+///     limit.taken(3);
+/// }
+/// assert!(limit.allows(3));
+/// ```
+#[derive(Debug, Clone)]
+pub struct AdaptiveLimit {
+    settings: AdaptiveSettings,
+    limit: f64,
+    decreased_at: Option<MonoTime>,
+}
+
+impl AdaptiveLimit {
+    /// A limit that knows nothing yet.
+    pub fn new(settings: AdaptiveSettings) -> Self {
+        Self {
+            limit: settings.initial.clamp(settings.floor, settings.ceiling),
+            settings,
+            decreased_at: None,
+        }
+    }
+
+    /// Whether one more call may be made beside those in progress.
+    pub fn allows(&self, in_progress: usize) -> bool {
+        (in_progress as f64) + 1.0 <= self.limit
+    }
+
+    /// The limit, in calls.
+    pub fn value(&self) -> usize {
+        self.limit as usize
+    }
+
+    /// A call was taken, with so many in progress, itself included.
+    pub fn taken(&mut self, in_progress: usize) {
+        if (in_progress as f64) + 1.0 > self.limit {
+            self.limit = (self.limit + 1.0 / self.limit).min(self.settings.ceiling);
+        }
+    }
+
+    /// A call was refused for lack of room.
+    pub fn refused(&mut self, now: MonoTime) {
+        let is_settled = self
+            .decreased_at
+            .is_none_or(|at| now.since(at) >= self.settings.settle_time);
+        if is_settled {
+            self.limit = (self.limit * self.settings.decrease).max(self.settings.floor);
+            self.decreased_at = Some(now);
+        }
+    }
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -3,6 +3,7 @@
 //! All of it is decision logic: time comes in, choices come out. One [`ConnectionPool`] and one
 //! [`AdmissionQueue`] stand in front of each target that an instance holds connections to.
 
+mod adaptive;
 mod failure_rate;
 mod pool;
 mod queue;
@@ -10,6 +11,8 @@
 mod smooth;
 mod window;
 
+pub use adaptive::AdaptiveLimit;
+pub use adaptive::AdaptiveSettings;
 pub use failure_rate::FailureRate;
 pub use pool::ConnectionPool;
 pub use pool::PoolChoice;
