Keep the cost of an event small before hundreds of groups

Cause: an instance that knows 490 groups looked at all connections of all of them at each event, and ranked all instances for all groups each 500 ms and at each change of any instance's entry.

Change: flags and sorted names instead of scans; homes are chosen anew only when the instances of the data centre, or those left out, change. The first list of targets is one line in the log. Advice when to come back is no shorter than half of what the statement waited, and leaves out targets that cannot be reached.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use log::Level;
 use log::info;
+use log::log;
 use log::warn;
 
 use heatherhollow_types::MonoTime;
@@ -64,6 +66,8 @@
     /// Sorted by client.
     pub(crate) clients: Vec<ClientSession>,
     pub(crate) groups: Vec<DatabaseGroup>,
+    /// Groups by name, sorted.
+    names: Vec<(String, GroupIndex)>,
     /// Sorted by connection.
     pub(crate) places: Vec<ConnectionPlace>,
     pub(crate) next_connection: u64,
@@ -98,6 +102,7 @@
             catalog: None,
             clients: Vec::new(),
             groups: Vec::new(),
+            names: Vec::new(),
             places: Vec::new(),
             next_connection: 0,
             next_serial: 0,
@@ -155,11 +160,7 @@
             GatewayEvent::TargetUnlisted(target) => self.unlist_target(&target, now),
             GatewayEvent::TargetsRead(entries) => self.replace_targets(entries, now),
             GatewayEvent::InstancesCounted(count) => {
-                let count = count.max(1);
-                if self.instances != count {
-                    self.instances = count;
-                    self.choose_homes(now, true);
-                }
+                self.count_instances(count, now);
             }
             GatewayEvent::DutyAnswered(answer) => self.take_duty(answer, now),
             GatewayEvent::PromotionOrdered { group, reply } => {
@@ -191,13 +192,7 @@
 
     /// When the next tick is due.
     pub fn next_tick(&self, now: MonoTime) -> MonoTime {
-        let is_busy = self.groups.iter().any(|group| {
-            !group.queue.is_empty()
-                || !group.held.is_empty()
-                || group.promotion.is_some()
-                || group.targets().any(|(_, lane)| lane.in_use() > 0)
-                || (group.primary.is_none() && group.remote_home.is_none())
-        });
+        let is_busy = self.groups.iter().any(|group| group.is_busy(now));
         now + if is_busy { BUSY_TICK } else { IDLE_TICK }
     }
 
@@ -265,13 +260,18 @@
 
     /// Index of a group, which is added if it is not known.
     pub(crate) fn group_index(&mut self, name: &str, now: MonoTime) -> GroupIndex {
-        if let Some(i) = self.groups.iter().position(|group| group.name == name) {
-            return GroupIndex(i);
-        }
+        let found = self
+            .names
+            .binary_search_by(|(known, _)| known.as_str().cmp(name));
+        let place = match found {
+            Ok(i) => return self.names[i].1,
+            Err(place) => place,
+        };
         let monitor = self.settings.monitor.clone();
         let group = DatabaseGroup::new(name.to_string(), monitor, now);
         self.groups.push(group);
         let index = GroupIndex(self.groups.len() - 1);
+        self.names.insert(place, (name.to_string(), index));
         self.choose_home(index, now);
         index
     }
@@ -281,9 +281,19 @@
         let state = &mut self.groups[group.0];
         state.note_vanished(&entry.target, false, now);
         let Some(target) = state.find(&entry.target) else {
-            info!(
+            // The first list is told in one line; it may have thousands of targets.
+            let level = match self.listed_since {
+                Some(_) => Level::Info,
+                None => Level::Debug,
+            };
+            log!(
+                level,
                 "target_listed group={} target={} address={} state={:?} role={:?}",
-                entry.group, entry.target, entry.address, entry.state, entry.role
+                entry.group,
+                entry.target,
+                entry.address,
+                entry.state,
+                entry.role
             );
             let is_leaving = entry.state == TargetState::Draining;
             let target = state.add(entry);
@@ -340,12 +350,17 @@
     }
 
     fn replace_targets(&mut self, entries: Vec<TargetEntry>, now: MonoTime) {
+        let mut listed = entries
+            .iter()
+            .map(|entry| entry.target.clone())
+            .collect::<Vec<_>>();
+        listed.sort();
         let missing = self
             .groups
             .iter()
             .flat_map(DatabaseGroup::targets)
             .map(|(_, lane)| lane.entry.target.clone())
-            .filter(|target| !entries.iter().any(|entry| entry.target == *target))
+            .filter(|target| listed.binary_search(target).is_err())
             .collect::<Vec<_>>();
         for entry in entries {
             self.list_target(entry, now);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -50,8 +50,7 @@
     /// Lends idle connections to waiting statements and opens connections that are missing.
     pub(crate) fn dispatch(&mut self, group: GroupIndex, now: MonoTime) {
         // Most groups have nothing to do at most events; an instance may know hundreds of them.
-        let mut lanes = self.groups[group.0].lanes.iter().flatten();
-        if lanes.any(|lane| !lane.control.is_empty()) {
+        if self.groups[group.0].has_control {
             self.send_control(group, now);
         }
         self.want_evidence(group, now);
@@ -210,6 +209,8 @@
                 break;
             }
         }
+        let mut lanes = self.groups[group.0].lanes.iter().flatten();
+        self.groups[group.0].has_control = lanes.any(|lane| !lane.control.is_empty());
     }
 
     pub(crate) fn lend(
@@ -423,10 +424,11 @@
         self.statistics.refused(reason);
         let may_log = self.may_log(now);
         let inputs = may_log.then(|| self.describe_inputs(client, now));
-        let group = self
-            .client(client)
-            .and_then(|s| Some(s.request.as_ref()?.group));
-        let retry_after = group.map(|group| self.retry_after(group, reason, now));
+        let request = self.client(client).and_then(|s| s.request.as_ref());
+        let retry_after = request.map(|request| {
+            let waited = now.since(request.received_at);
+            self.retry_after(request.group, reason, waited, now)
+        });
         let Some(session) = self.client_mut(client) else {
             return;
         };
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -18,6 +18,7 @@
 use crate::core::SessionGateway;
 use crate::group::DatabaseGroup;
 use crate::group::GroupIndex;
+use crate::group::RECENT_USE;
 use crate::homes::AVOID_TIME;
 use crate::homes::ISOLATED_AVOID_TIME;
 use crate::homes::PeerEntry;
@@ -80,17 +81,15 @@
     End,
 }
 
-/// Time after which the home of a group is chosen anew although no instance came or went: instances
-/// that were left out count again.
+/// Time after which the home of a group is chosen anew while an instance that was cut off from the group
+/// is left out: it may count again.
 const CHOICE_LIFETIME: Duration = Duration::from_millis(500);
 
-/// Time after its last statement here during which a group is still observed.
-const RECENT_USE: Duration = Duration::from_secs(5);
-
 impl SessionGateway {
     pub(crate) fn replace_peers(&mut self, peers: Vec<PeerEntry>, now: MonoTime) {
-        self.homes.replace(peers, now);
-        self.choose_homes(now, true);
+        let data_centre = self.identity.data_centre.clone();
+        let is_changed = self.homes.replace(peers, &data_centre, now);
+        self.choose_homes(now, is_changed);
     }
 
     /// Chooses the home of a group.
@@ -121,12 +120,30 @@
         state.home_chosen_at = now;
     }
 
-    /// Chooses the homes of all groups, or of those whose choice is old.
+    /// Chooses the homes of all groups after a change, or of those for which time changes the choice.
     pub(crate) fn choose_homes(&mut self, now: MonoTime, is_changed: bool) {
-        let is_changed = self.homes.forget_unlisted(now) || is_changed;
+        let is_changed = self.homes.expire(now) || is_changed;
         self.data_centres = self.homes.data_centres().max(1);
         for i in 0..self.groups.len() {
-            if is_changed || now.since(self.groups[i].home_chosen_at) >= CHOICE_LIFETIME {
+            let state = &mut self.groups[i];
+            let is_due = !state.isolated_homes.is_empty()
+                && now.since(state.home_chosen_at) >= CHOICE_LIFETIME;
+            if is_due {
+                state.isolated_homes.retain(|(_, until)| now < *until);
+            }
+            if is_due || is_changed {
+                self.choose_home(GroupIndex(i), now);
+            }
+        }
+    }
+
+    /// Takes the number of live instances.
+    pub(crate) fn count_instances(&mut self, count: usize, now: MonoTime) {
+        let old = self.instances;
+        self.instances = count.max(1);
+        for i in 0..self.groups.len() {
+            let state = &self.groups[i];
+            if state.is_scarce(old) != state.is_scarce(self.instances) {
                 self.choose_home(GroupIndex(i), now);
             }
         }
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -46,6 +46,8 @@
     pub failover_time: Option<Duration>,
     pub monitor: PrimaryMonitor,
     pub suspicion: Suspicion,
+    /// Whether control calls may wait for a connection.
+    pub has_control: bool,
     /// Clients whose requests wait for a connection.
     pub queue: Vec<ClientId>,
     /// Clients whose answers wait for evidence of leadership.
@@ -95,6 +97,7 @@
             failover_time: None,
             monitor: PrimaryMonitor::new(monitor),
             suspicion: Suspicion::Healthy,
+            has_control: false,
             queue: Vec::new(),
             held: Vec::new(),
             check: None,
@@ -397,22 +400,39 @@
         call: TargetCall,
         now: MonoTime,
     ) {
-        if let Some(lane) = self.lane_mut(target) {
-            let is_queued = lane
-                .control
-                .iter()
-                .any(|job| job.purpose == purpose && job.call == call);
-            if !is_queued {
-                lane.control.push_back(ControlJob {
-                    purpose,
-                    call,
-                    queued_at: now,
-                });
-            }
+        let Some(lane) = self.lane_mut(target) else {
+            return;
+        };
+        let is_queued = lane
+            .control
+            .iter()
+            .any(|job| job.purpose == purpose && job.call == call);
+        if !is_queued {
+            lane.control.push_back(ControlJob {
+                purpose,
+                call,
+                queued_at: now,
+            });
+            self.has_control = true;
         }
     }
+
+    /// Whether something is under way that has time limits shorter than an idle tick.
+    pub fn is_busy(&self, now: MonoTime) -> bool {
+        let has_work = !self.queue.is_empty() || !self.held.is_empty() || self.promotion.is_some();
+        let is_used = now.since(self.used_at) < RECENT_USE;
+        // Nothing runs at the targets of a group that has long been used through its home.
+        if has_work || (self.remote_home.is_some() && !is_used) {
+            return has_work;
+        }
+        let is_leaderless = self.primary.is_none() && self.remote_home.is_none();
+        is_leaderless || self.targets().any(|(_, lane)| lane.in_use() > 0)
+    }
 }
 
+/// Time after its last statement here during which a group still counts as used.
+pub(crate) const RECENT_USE: Duration = Duration::from_secs(5);
+
 /// Connections a target is assumed to accept while its group is not declared.
 const DEFAULT_MAX_CONNECTIONS: usize = 16;
 
--- a/crates/gateway/src/homes.rs
+++ b/crates/gateway/src/homes.rs
@@ -50,7 +50,15 @@
     /// Takes the list of instances. Those that are not in it stay known for [`PEER_MEMORY`]: entries
     /// lapse while the store is away, and instances that each took themselves for the only one would
     /// together exceed the connections of every target.
-    pub fn replace(&mut self, peers: Vec<PeerEntry>, now: MonoTime) {
+    ///
+    /// Tells whether the known instances of a data centre changed.
+    pub fn replace(
+        &mut self,
+        peers: Vec<PeerEntry>,
+        data_centre: &DataCentre,
+        now: MonoTime,
+    ) -> bool {
+        let mut is_changed = false;
         for known in &mut self.peers {
             known.unlisted_since.get_or_insert(now);
         }
@@ -59,27 +67,38 @@
                 entry,
                 unlisted_since: None,
             };
+            let is_near = listed.entry.data_centre == *data_centre;
             match self.find(&listed.entry.instance) {
-                Ok(i) => self.peers[i] = listed,
-                Err(i) => self.peers.insert(i, listed),
+                Ok(i) => {
+                    is_changed |= is_near && self.peers[i].entry != listed.entry;
+                    self.peers[i] = listed;
+                }
+                Err(i) => {
+                    is_changed |= is_near;
+                    self.peers.insert(i, listed);
+                }
             }
         }
         // What was lost or announced its stop, and is not listed any more, is gone.
         let avoided = &self.avoided;
+        let count = self.peers.len();
         self.peers.retain(|known| {
             let instance = &known.entry.instance;
             known.unlisted_since.is_none() || !is_avoided(avoided, instance, now)
         });
+        is_changed || self.peers.len() < count
     }
 
-    /// Forgets instances that have not been listed for long, and tells whether there were any.
-    pub fn forget_unlisted(&mut self, now: MonoTime) -> bool {
-        let count = self.peers.len();
+    /// Forgets instances that have not been listed for long, and ends the time of those that are left
+    /// out; tells whether there were any.
+    pub fn expire(&mut self, now: MonoTime) -> bool {
+        let count = self.peers.len() + self.avoided.len();
         self.peers.retain(|known| {
             let unlisted = known.unlisted_since;
             unlisted.is_none_or(|since| now.since(since) < PEER_MEMORY)
         });
-        self.peers.len() < count
+        self.avoided.retain(|(_, until)| now < *until);
+        self.peers.len() + self.avoided.len() < count
     }
 
     /// Number of data centres with known instances.
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -15,6 +15,7 @@
 use crate::core::ConnectionPlace;
 use crate::core::SessionGateway;
 use crate::group::GroupIndex;
+use crate::group::RECENT_USE;
 use crate::lane::CallPurpose;
 use crate::lane::ConnectionId;
 use crate::lane::ConnectionPhase;
@@ -401,9 +402,6 @@
     }
 }
 
-/// Time without statements after which a group counts as unused and is observed half as often.
-const RECENT_USE: std::time::Duration = std::time::Duration::from_secs(5);
-
 /// Time between two questions to a target while no primary is known.
 const PROBE_INTERVAL: std::time::Duration = std::time::Duration::from_millis(60);
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -485,7 +485,10 @@
         );
         let reason = RefusalReason::TargetRefused;
         let error = ClientError {
-            retry_after: is_promise.then(|| self.retry_after(place.group, reason, now)),
+            retry_after: is_promise.then(|| {
+                let waited = now.since(request.received_at);
+                self.retry_after(place.group, reason, waited, now)
+            }),
             ..ClientError::new(client_code, &text)
         };
         self.send_error(client, error);
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -50,6 +50,7 @@
         &self,
         group: GroupIndex,
         reason: RefusalReason,
+        waited: Duration,
         now: MonoTime,
     ) -> Duration {
         let state = &self.groups[group.0];
@@ -59,7 +60,8 @@
             RefusalReason::TransactionLost if state.primary.is_none() => {
                 self.expected_primary(state, now)
             }
-            _ => expected_drain(state, now),
+            // An estimate below what the statement has waited already was wrong for it.
+            _ => expected_drain(state, now).max(waited / 2),
         };
         span.clamp(self.settings.busy_backoff, MAX_RETRY_AFTER)
     }
@@ -85,6 +87,7 @@
 fn expected_drain(state: &DatabaseGroup, now: MonoTime) -> Duration {
     let rate = state
         .targets()
+        .filter(|(_, lane)| !lane.is_unreachable())
         .filter_map(|(_, lane)| lane.service_rate.best(now))
         .sum::<usize>();
     if rate > 0 {
