Spread the writes of instances that start together; bound log lines of targets

Change: a free place is taken after a random part of 150 ms and a second look; entries are written within 1 s. Lines for listed targets count against the bound of a second. Groups that are not in use are observed less often, up to each 5 s.

--- /dev/null
+++ b/crates/gateway/examples/event_cost.rs
@@ -0,0 +1,273 @@
+//! Processor time and memory of a gateway by the number of groups and instances that it knows.
+//!
+//! One gateway with targets that answer at once; the data centre has a twentieth of the instances. Prints
+//! the time of a tick, of a forwarded statement at the client's instance and of one at its home, and of a
+//! change of another instance's entry. docs/CAPACITY.md has the figures.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherhollow_gateway::AnswerEnd;
+use heatherhollow_gateway::Catalog;
+use heatherhollow_gateway::ClientId;
+use heatherhollow_gateway::ClientQuery;
+use heatherhollow_gateway::ConnectionId;
+use heatherhollow_gateway::ForwardedQuery;
+use heatherhollow_gateway::GatewayAction;
+use heatherhollow_gateway::GatewayEvent;
+use heatherhollow_gateway::GatewaySettings;
+use heatherhollow_gateway::GroupRule;
+use heatherhollow_gateway::InstanceIdentity;
+use heatherhollow_gateway::PeerEntry;
+use heatherhollow_gateway::RouteFreshness;
+use heatherhollow_gateway::SessionGateway;
+use heatherhollow_gateway::SessionRoute;
+use heatherhollow_gateway::SessionState;
+use heatherhollow_gateway::Statement;
+use heatherhollow_gateway::StatusFormat;
+use heatherhollow_gateway::StatusReport;
+use heatherhollow_gateway::TargetAnswer;
+use heatherhollow_gateway::TargetCall;
+use heatherhollow_gateway::TargetEntry;
+use heatherhollow_gateway::TargetRole;
+use heatherhollow_gateway::TargetState;
+use heatherhollow_gateway::TransactionPart;
+use heatherhollow_types::GroupPosition;
+use heatherhollow_types::MonoTime;
+use heatherhollow_types::TermNumber;
+
+/// Groups and instances of each line.
+const SIZES: [(usize, usize); 4] = [(10, 10), (160, 100), (490, 300), (3_300, 2_000)];
+
+/// Data centres at the planned size.
+const DATA_CENTRES: usize = 19;
+
+/// Repetitions that are timed.
+const ROUNDS: u32 = 200;
+
+struct RoleFormat;
+
+impl StatusFormat for RoleFormat {
+    fn decode(&self, row: &str) -> Option<StatusReport> {
+        let role = match row {
+            "primary" => TargetRole::Primary,
+            _ => TargetRole::Replica,
+        };
+        Some(StatusReport {
+            role,
+            term: TermNumber(1),
+            received: GroupPosition::new(1, 10),
+            paused_for: None,
+            lag: Duration::ZERO,
+            busy_slots: 0,
+            connections: 3,
+        })
+    }
+}
+
+struct Bench {
+    gateway: SessionGateway,
+    now: MonoTime,
+    /// Target of each connection, by its id.
+    targets: Vec<(ConnectionId, u16)>,
+}
+
+impl Bench {
+    fn new(groups: usize, instances: usize) -> Self {
+        let identity = InstanceIdentity {
+            name: "i0".to_string(),
+            data_centre: "d0".parse().expect("a constant name is valid"),
+            regions: Vec::new(),
+        };
+        let settings = GatewaySettings::default();
+        let gateway = SessionGateway::new(settings, identity, Arc::new(RoleFormat), Box::new(()));
+        let mut bench = Self {
+            gateway,
+            now: MonoTime::from_millis(60_000),
+            targets: Vec::new(),
+        };
+        bench.tell(GatewayEvent::CatalogRead(catalog(groups)));
+        bench.tell(GatewayEvent::InstancesCounted(instances));
+        bench.tell(GatewayEvent::PeersRead(peers(instances)));
+        let targets = (0..groups).flat_map(|group| (0..3).map(move |i| target(group, i)));
+        bench.tell(GatewayEvent::TargetsRead(targets.collect()));
+        for _ in 0..100 {
+            bench.pass();
+        }
+        bench
+    }
+
+    fn pass(&mut self) {
+        self.now = self.now + Duration::from_millis(20);
+        self.tell(GatewayEvent::Tick);
+    }
+
+    fn tell(&mut self, event: GatewayEvent) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            for action in self.gateway.handle(event, self.now) {
+                events.extend(self.perform(action));
+            }
+        }
+    }
+
+    fn perform(&mut self, action: GatewayAction) -> Option<GatewayEvent> {
+        match action {
+            GatewayAction::OpenTarget {
+                connection,
+                address,
+                ..
+            } => {
+                self.targets.push((connection, address.port()));
+                Some(GatewayEvent::TargetOpened(connection))
+            }
+            GatewayAction::CallTarget { connection, call } => {
+                let found = self
+                    .targets
+                    .binary_search_by_key(&connection, |(id, _)| *id);
+                let port = found.map_or(0, |i| self.targets[i].1);
+                let row = if port == 1 { "primary" } else { "replica" };
+                let state = match call {
+                    TargetCall::Begin { .. } => SessionState::Transaction,
+                    _ => SessionState::Idle,
+                };
+                Some(GatewayEvent::TargetAnswered {
+                    connection,
+                    answer: TargetAnswer {
+                        rows: vec![row.to_string()],
+                        end: AnswerEnd::Complete {
+                            signature: "s".to_string(),
+                        },
+                        state,
+                        position: Some(GroupPosition::new(1, 10)),
+                    },
+                })
+            }
+            _ => None,
+        }
+    }
+
+    /// Mean time of an action, in microseconds.
+    fn time(&mut self, mut action: impl FnMut(&mut Self, u32)) -> f64 {
+        let began_at = Instant::now();
+        for round in 0..ROUNDS {
+            action(self, round);
+        }
+        began_at.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
+    }
+}
+
+fn name(group: usize) -> String {
+    format!("g{group}")
+}
+
+fn target(group: usize, i: u16) -> TargetEntry {
+    TargetEntry {
+        target: format!("t{group}-{i}"),
+        group: name(group),
+        address: format!("127.0.0.1:{}", i + 1)
+            .parse()
+            .expect("a constant address is valid"),
+        data_centre: "d0".parse().expect("a constant name is valid"),
+        slots: 3,
+        state: TargetState::Ready,
+        role: None,
+        born: 1,
+    }
+}
+
+fn peers(instances: usize) -> Vec<PeerEntry> {
+    let peers = (0..instances).map(|i| PeerEntry {
+        instance: format!("i{i}"),
+        address: "127.0.0.1:1".parse().expect("a constant address is valid"),
+        data_centre: format!("d{}", i % DATA_CENTRES)
+            .parse()
+            .expect("a constant name is valid"),
+        capacity: 250,
+    });
+    peers.collect()
+}
+
+fn route(group: usize) -> SessionRoute {
+    SessionRoute {
+        database: name(group),
+        group: name(group),
+        freshness: RouteFreshness::Bounded {
+            max_age: Duration::from_secs(2),
+        },
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(500),
+        priority: 1,
+    }
+}
+
+fn catalog(groups: usize) -> Catalog {
+    let mut routes = (0..groups).map(route).collect::<Vec<_>>();
+    routes.sort_by(|a, b| a.database.cmp(&b.database));
+    let mut rules = (0..groups)
+        .map(|group| GroupRule {
+            group: name(group),
+            max_connections: 22,
+            sync_replicas: 1,
+        })
+        .collect::<Vec<_>>();
+    rules.sort_by(|a, b| a.group.cmp(&b.group));
+    Catalog {
+        version: 1,
+        routes,
+        groups: rules,
+        idle_transaction: None,
+    }
+}
+
+fn query(round: u32) -> ClientQuery {
+    ClientQuery {
+        id: format!("q{round}"),
+        text: "READ x".to_string(),
+        statement: Statement::Read,
+    }
+}
+
+fn main() {
+    println!("groups instances | tick_us read_us forwarded_us member_us");
+    for (groups, instances) in SIZES {
+        let mut bench = Bench::new(groups, instances);
+        let tick = bench.time(|bench, _| bench.pass());
+        let client = ClientId(1);
+        bench.tell(GatewayEvent::ClientOpened(client));
+        let database = name(0);
+        bench.tell(GatewayEvent::ClientStart { client, database });
+        let read = bench.time(|bench, round| {
+            bench.now = bench.now + Duration::from_micros(100);
+            let query = query(round);
+            bench.tell(GatewayEvent::ClientQuery { client, query });
+        });
+        let forwarded = bench.time(|bench, round| {
+            bench.now = bench.now + Duration::from_micros(100);
+            let forwarded = ForwardedQuery {
+                serial: u64::from(round),
+                query: query(round),
+                route: route(1),
+                part: TransactionPart::Single,
+                values: Vec::new(),
+                shape: None,
+                position: None,
+                has_doubt: false,
+            };
+            bench.tell(GatewayEvent::Forwarded {
+                client: ClientId(2),
+                query: Box::new(forwarded),
+            });
+        });
+        let all = peers(instances);
+        let member = bench.time(|bench, round| {
+            let mut all = all.clone();
+            if round % 2 == 0 {
+                all.pop();
+            }
+            bench.tell(GatewayEvent::PeersRead(all));
+        });
+        println!("{groups} {instances} | {tick:.1} {read:.1} {forwarded:.1} {member:.1}");
+    }
+}
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -3,9 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::Level;
 use log::info;
-use log::log;
 use log::warn;
 
 use heatherhollow_types::MonoTime;
@@ -281,20 +279,14 @@
         let state = &mut self.groups[group.0];
         state.note_vanished(&entry.target, false, now);
         let Some(target) = state.find(&entry.target) else {
-            // The first list is told in one line; it may have thousands of targets.
-            let level = match self.listed_since {
-                Some(_) => Level::Info,
-                None => Level::Debug,
-            };
-            log!(
-                level,
-                "target_listed group={} target={} address={} state={:?} role={:?}",
-                entry.group,
-                entry.target,
-                entry.address,
-                entry.state,
-                entry.role
-            );
+            // Thousands of targets may be listed at once, of which other lines give the number.
+            if self.may_log(now) {
+                info!(
+                    "target_listed group={} target={} address={} state={:?} role={:?}",
+                    entry.group, entry.target, entry.address, entry.state, entry.role
+                );
+            }
+            let state = &mut self.groups[group.0];
             let is_leaving = entry.state == TargetState::Draining;
             let target = state.add(entry);
             if let Some(lane) = state.lane_mut(target) {
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -15,7 +15,6 @@
 use crate::core::ConnectionPlace;
 use crate::core::SessionGateway;
 use crate::group::GroupIndex;
-use crate::group::RECENT_USE;
 use crate::lane::CallPurpose;
 use crate::lane::ConnectionId;
 use crate::lane::ConnectionPhase;
@@ -260,8 +259,9 @@
         for target in paused {
             state.control(target, ControlPurpose::Observe, TargetCall::Status, now);
         }
-        let is_used = now.since(state.used_at) < RECENT_USE;
-        let pause = if is_used { interval } else { interval * 2 };
+        // What a statement needs after a pause in the use is asked for when it comes.
+        let longest = self.settings.idle_observe_interval;
+        let pause = (now.since(state.used_at) / 2).clamp(interval, longest);
         let Some(primary) = state.primary else {
             self.find_primary(group, now);
             return;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -40,6 +40,9 @@
     /// Time between two observations of a group that is in use. Less than half of the staleness bounds
     /// in use, 1.5 s and more, so that replicas that lag by as much as the rest stay usable.
     pub observe_interval: Duration,
+    /// Longest time between two observations of a group that is not in use. With it, a primary that fails
+    /// unused is replaced within 9 s.
+    pub idle_observe_interval: Duration,
     /// Share of failed statements from which a target counts as faulty, above what statements that are
     /// wrong themselves make up. Reads go elsewhere as long as another target can serve them.
     pub faulty_rate: f64,
@@ -125,6 +128,7 @@
             },
             monitor: MonitorSettings::default(),
             observe_interval: Duration::from_millis(650),
+            idle_observe_interval: Duration::from_secs(5),
             faulty_rate: 0.2,
             max_failed_targets: 3,
             failed_backoff: Duration::from_secs(60),
--- a/crates/runner/src/membership.rs
+++ b/crates/runner/src/membership.rs
@@ -12,6 +12,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::watch;
+use tokio::time::sleep;
 
 use heatherhollow_gateway::PeerEntry;
 
@@ -31,9 +32,9 @@
 /// Renewals of the lease in its span.
 const RENEWALS: u32 = 3;
 
-/// Longest pause before an entry that ended is written again; it spreads the calls of instances whose
-/// entries ended together.
-const REENTRY_PAUSE: Duration = Duration::from_millis(500);
+/// Longest pause before an entry is written, at the start and after it ended; it spreads the calls of
+/// instances that start, or whose entries end, together. The store takes some hundred writes a second.
+const ENTRY_SPREAD: Duration = Duration::from_millis(1_000);
 
 /// Longest pause after a failed call; calls to a store that is down cost as much as others.
 const FAILURE_PAUSE: Duration = Duration::from_secs(5);
@@ -137,6 +138,7 @@
             return;
         }
     };
+    sleep(random_part(ENTRY_SPREAD)).await;
     loop {
         let entered = enter(&*store, &path, &value, span, &mut is_leaving).await;
         let has_left = *is_leaving.borrow();
@@ -144,17 +146,21 @@
             Ok(()) if has_left => return,
             Ok(()) => {
                 info!("member_entry_ended instance={instance}");
-                REENTRY_PAUSE
+                ENTRY_SPREAD
             }
             Err(error) => {
                 info!("member_entry_failed error={:?}", error.to_string());
                 FAILURE_PAUSE
             }
         };
-        tokio::time::sleep(pause.mul_f64(rand::random_range(0.0..1.0))).await;
+        sleep(random_part(pause)).await;
     }
 }
 
+fn random_part(span: Duration) -> Duration {
+    span.mul_f64(rand::random_range(0.0..1.0))
+}
+
 /// Writes the entry and renews its lease until that ends.
 async fn enter(
     store: &dyn StorePort,
@@ -179,7 +185,7 @@
                     return store.end_lease(lease).await;
                 }
             }
-            () = tokio::time::sleep(span / RENEWALS) => {}
+            () = sleep(span / RENEWALS) => {}
         }
         match store.renew_lease(lease).await {
             Ok(()) => {}
--- a/crates/runner/src/readers.rs
+++ b/crates/runner/src/readers.rs
@@ -16,6 +16,7 @@
 use serde::Serialize;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
 
 use heatherhollow_ports::LeaseId;
 use heatherhollow_ports::StoreError;
@@ -71,6 +72,23 @@
     }
 }
 
+/// Longest pause before a free place is taken; of instances that start together, the first take the places
+/// and the others see that, instead of all of them writing at once.
+const TAKE_SPREAD: Duration = Duration::from_millis(150);
+
+/// A place with the revision of its entry, if there is one.
+type FoundPlace = (String, Option<StoreRevision>);
+
+/// Places as they are found in the store.
+#[derive(Default)]
+struct PlaceView {
+    /// The place of this instance's former run.
+    own: Option<FoundPlace>,
+    free: Vec<FoundPlace>,
+    /// Holders of the others.
+    others: Vec<SocketAddr>,
+}
+
 /// The places of a data centre.
 pub struct ReaderPlaces {
     /// The store.
@@ -90,34 +108,46 @@
 impl ReaderPlaces {
     /// Takes a free place, or tells whom to follow.
     pub async fn choose(&self) -> Result<ReaderChoice, StoreError> {
+        let mut view = self.view().await?;
+        if view.own.is_none() && !view.free.is_empty() {
+            sleep(TAKE_SPREAD.mul_f64(rand::random_range(0.0..1.0))).await;
+            view = self.view().await?;
+        }
+        let PlaceView {
+            own,
+            mut free,
+            mut others,
+        } = view;
+        free.shuffle(&mut rand::rng());
+        others.shuffle(&mut rand::rng());
+        if let Some((path, expected)) = own.or_else(|| free.pop()) {
+            match self.take(&path, expected).await? {
+                Ok(place) => return Ok(ReaderChoice::Reads(place)),
+                Err(holder) => others.extend(holder),
+            }
+        }
+        Ok(ReaderChoice::Follows(others))
+    }
+
+    async fn view(&self) -> Result<PlaceView, StoreError> {
         let prefix = format!("{READERS_PREFIX}{}", self.data_centre);
         let (entries, _) = self.store.list(&prefix).await?;
-        let mut others = Vec::new();
-        let mut own = None;
-        let mut free = Vec::new();
+        let mut view = PlaceView::default();
         for place in 0..READER_PLACES {
             let path = format!("{prefix}/{place}");
             match entries.iter().find(|entry| entry.path == path) {
                 Some(entry) => match decode(&entry.path, &entry.value) {
                     Some(value) if value.instance == self.own.instance => {
-                        own = Some((path, Some(entry.revision)));
+                        view.own = Some((path, Some(entry.revision)));
                     }
-                    Some(value) => others.push(value.address),
+                    Some(value) => view.others.push(value.address),
                     // An entry that cannot be read names nobody.
-                    None => free.push((path, Some(entry.revision))),
+                    None => view.free.push((path, Some(entry.revision))),
                 },
-                None => free.push((path, None)),
+                None => view.free.push((path, None)),
             }
         }
-        free.shuffle(&mut rand::rng());
-        others.shuffle(&mut rand::rng());
-        if let Some((path, expected)) = own.or_else(|| free.pop()) {
-            match self.take(&path, expected).await? {
-                Ok(place) => return Ok(ReaderChoice::Reads(place)),
-                Err(holder) => others.extend(holder),
-            }
-        }
-        Ok(ReaderChoice::Follows(others))
+        Ok(view)
     }
 
     /// The place and the address of its holder, if an entry is one of the data centre's places.
@@ -196,7 +226,7 @@
                     }
                     return;
                 }
-                () = tokio::time::sleep(CONFIRM_INTERVAL) => {}
+                () = sleep(CONFIRM_INTERVAL) => {}
             }
             match self.store.renew_lease(self.lease).await {
                 Ok(()) => self.mirror.confirm(),
