Bound the homes that are tried for a group that none reaches

Cause: a statement whose home answers that it is cut off from the group went to the next instance of the data centre, four times.

Change: at most two homes of a group are left out as cut off at the same time; after that the refusal is passed on, with its advice.

Test: few_homes_are_tried_for_a_group_that_none_reaches failed before.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -85,6 +85,9 @@
 /// is left out: it may count again.
 const CHOICE_LIFETIME: Duration = Duration::from_millis(500);
 
+/// Homes of a group that are left out at the same time since they are cut off from it.
+const MAX_ISOLATED_HOMES: usize = 2;
+
 impl SessionGateway {
     pub(crate) fn replace_peers(&mut self, peers: Vec<PeerEntry>, now: MonoTime) {
         let data_centre = self.identity.data_centre.clone();
@@ -281,7 +284,8 @@
             _ => return,
         };
         let has_run = session.open_transaction().is_some_and(|open| open.has_run);
-        if answer.is_isolated && !has_run {
+        let group = request.group;
+        if answer.is_isolated && !has_run && self.has_next_home(group, &home, now) {
             self.try_next_home(client, home, now);
             return;
         }
@@ -322,6 +326,14 @@
         self.advance_client(client, now);
     }
 
+    /// Whether another home of a group may be tried. If several are cut off from it, the fault is not
+    /// theirs, and each further one would open connections to the group's targets in vain.
+    fn has_next_home(&self, group: GroupIndex, home: &str, now: MonoTime) -> bool {
+        let others = self.groups[group.0].isolated_homes.iter();
+        let others = others.filter(|(known, until)| known != home && now < *until);
+        others.count() < MAX_ISOLATED_HOMES
+    }
+
     /// Places a statement again that its home could not run, as it is cut off from the group: another
     /// instance of the data centre may reach it.
     fn try_next_home(&mut self, client: ClientId, home: String, now: MonoTime) {
--- a/crates/gateway/tests/homes.rs
+++ b/crates/gateway/tests/homes.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 
 use heatherhollow_gateway::Catalog;
+use heatherhollow_gateway::ClientAnswer;
+use heatherhollow_gateway::ClientCode;
+use heatherhollow_gateway::ClientError;
 use heatherhollow_gateway::ClientId;
 use heatherhollow_gateway::ClientQuery;
 use heatherhollow_gateway::GatewayAction;
@@ -16,6 +19,7 @@
 use heatherhollow_gateway::RouteFreshness;
 use heatherhollow_gateway::SessionGateway;
 use heatherhollow_gateway::SessionRoute;
+use heatherhollow_gateway::SessionState;
 use heatherhollow_gateway::Statement;
 use heatherhollow_gateway::StatusFormat;
 use heatherhollow_gateway::StatusReport;
@@ -237,3 +241,66 @@
     }
     assert_eq!(desk.homes(), homes);
 }
+
+/// If no instance reaches a group, its statements must not go from one instance to the next until all of
+/// them have opened connections to its targets: that is load for links that are already full.
+#[test]
+fn few_homes_are_tried_for_a_group_that_none_reaches() {
+    let mut desk = Desk::new();
+    let homes = desk.homes();
+    let group = homes.iter().position(Option::is_some).unwrap();
+    let client = client(group);
+    let mut tried = Vec::new();
+    for round in 0..20 {
+        let mut actions = desk.tell(GatewayEvent::ClientQuery {
+            client,
+            query: ClientQuery {
+                id: format!("q{round}"),
+                text: "READ x".to_string(),
+                statement: Statement::Read,
+            },
+        });
+        // Each home answers that it does not reach the group.
+        while let Some((home, serial)) = forwarding(&actions) {
+            tried.push(home);
+            actions = desk.tell(GatewayEvent::HomeAnswered {
+                client,
+                serial,
+                answer: isolated(),
+            });
+        }
+        let is_answered = actions
+            .iter()
+            .any(|action| matches!(action, GatewayAction::AnswerClient { .. }));
+        assert!(is_answered, "a statement that no home can run is refused");
+        desk.pass(50);
+    }
+    tried.sort();
+    tried.dedup();
+    assert!(
+        (2..=3).contains(&tried.len()),
+        "{} homes were tried",
+        tried.len()
+    );
+}
+
+fn forwarding(actions: &[GatewayAction]) -> Option<(String, u64)> {
+    actions.iter().find_map(|action| match action {
+        GatewayAction::SendHome {
+            home,
+            message: HomeMessage::Query(query),
+            ..
+        } => Some((home.clone(), query.serial)),
+        _ => None,
+    })
+}
+
+fn isolated() -> ClientAnswer {
+    ClientAnswer {
+        rows: Vec::new(),
+        end: Err(ClientError::new(ClientCode::Busy, "not reached")),
+        state: SessionState::Idle,
+        position: None,
+        is_isolated: true,
+    }
+}
