Copy the entries from an earlier reader instead of listing them again

Cause: after all of 300 instances were killed at once (trial on a scratch copy), the four readers of the region without the store each took the whole list over its 30 Mbit/s, and followers that asked a restarted reader before it had its place were sent away 1,131 times.

Change: a reader takes the entries from the holder of an earlier place, within 0.6 s, and watches from there; an instance that starts holds followers until it knows its part.

--- a/crates/runner/src/mirror.rs
+++ b/crates/runner/src/mirror.rs
@@ -33,8 +33,8 @@
 
 #[derive(Default)]
 struct MirrorState {
-    /// Whether this instance reads the store for others.
-    is_reader: bool,
+    /// Whether this instance reads the store for others; none while it starts.
+    is_reader: Option<bool>,
     /// Whether the store answered the last watch.
     is_watched: bool,
     /// Whether the store answered the last renewal of the reader's place.
@@ -49,15 +49,18 @@
 }
 
 impl StoreMirror {
-    /// Starts or ends serving followers. The store has just answered one that starts.
+    /// Starts or ends serving followers. The store has just answered one that starts; followers that came
+    /// before wait for its entries.
     pub fn set_reader(&self, is_reader: bool) {
         let mut state = self.lock();
         if !is_reader {
             state.detach();
         }
+        let ahead = std::mem::take(&mut state.ahead);
         *state = MirrorState {
-            is_reader,
+            is_reader: Some(is_reader),
             is_confirmed: is_reader,
+            ahead,
             ..MirrorState::default()
         };
     }
@@ -65,7 +68,8 @@
     /// Adds a follower that knows the entries up to a revision.
     pub fn follow(&self, known: u64, follower: UnboundedSender<FrameBody>) {
         let mut state = self.lock();
-        if !state.is_reader || (state.revision.is_some() && !state.is_current()) {
+        let is_detached = state.is_reader == Some(false);
+        if is_detached || (state.revision.is_some() && !state.is_current()) {
             // The link has ended if nobody receives.
             let _is_received = follower.send(FrameBody::Detached(true)).is_ok();
             return;
@@ -77,7 +81,7 @@
     /// Takes the whole list of entries.
     pub fn replace(&self, entries: &[StoreEntry], revision: StoreRevision) {
         let mut state = self.lock();
-        if !state.is_reader {
+        if state.is_reader != Some(true) {
             return;
         }
         state.entries = entries.iter().map(entry_frame).collect();
@@ -94,7 +98,7 @@
     /// Takes changes up to a revision.
     pub fn apply(&self, changes: &[StoreChange], revision: StoreRevision) {
         let mut state = self.lock();
-        if !state.is_reader || state.revision.is_none() {
+        if state.is_reader != Some(true) || state.revision.is_none() {
             return;
         }
         let frames = changes.iter().map(change_frame).collect::<Vec<_>>();
--- a/crates/runner/src/readers.rs
+++ b/crates/runner/src/readers.rs
@@ -47,8 +47,8 @@
 
 /// How an instance learns what is in the store.
 pub enum ReaderChoice {
-    /// It reads the store and holds a place.
-    Reads(ReaderPlace),
+    /// It reads the store and holds a place. These hold places before its own.
+    Reads(ReaderPlace, Vec<SocketAddr>),
     /// It follows one of these, in this order.
     Follows(Vec<SocketAddr>),
 }
@@ -85,8 +85,8 @@
     /// The place of this instance's former run.
     own: Option<FoundPlace>,
     free: Vec<FoundPlace>,
-    /// Holders of the others.
-    others: Vec<SocketAddr>,
+    /// The others, with their holders.
+    others: Vec<(String, SocketAddr)>,
 }
 
 /// The places of a data centre.
@@ -122,11 +122,16 @@
         others.shuffle(&mut rand::rng());
         if let Some((path, expected)) = own.or_else(|| free.pop()) {
             match self.take(&path, expected).await? {
-                Ok(place) => return Ok(ReaderChoice::Reads(place)),
-                Err(holder) => others.extend(holder),
+                Ok(place) => {
+                    let earlier = others.into_iter().filter(|(known, _)| *known < path);
+                    let earlier = earlier.map(|(_, address)| address).collect();
+                    return Ok(ReaderChoice::Reads(place, earlier));
+                }
+                Err(holder) => others.extend(holder.map(|holder| (path, holder))),
             }
         }
-        Ok(ReaderChoice::Follows(others))
+        let others = others.into_iter().map(|(_, address)| address);
+        Ok(ReaderChoice::Follows(others.collect()))
     }
 
     async fn view(&self) -> Result<PlaceView, StoreError> {
@@ -140,7 +145,7 @@
                     Some(value) if value.instance == self.own.instance => {
                         view.own = Some((path, Some(entry.revision)));
                     }
-                    Some(value) => view.others.push(value.address),
+                    Some(value) => view.others.push((path, value.address)),
                     // An entry that cannot be read names nobody.
                     None => view.free.push((path, Some(entry.revision))),
                 },
--- a/crates/runner/src/watch.rs
+++ b/crates/runner/src/watch.rs
@@ -8,11 +8,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use log::debug;
 use log::info;
 use rand::seq::SliceRandom;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::timeout_at;
 
 use heatherhollow_gateway::GatewayEvent;
 use heatherhollow_gateway::TargetRole;
@@ -53,6 +55,10 @@
 /// together with it have started by then.
 const FOLLOW_LIMIT: Duration = Duration::from_millis(1_000);
 
+/// Time for which a reader waits for the entries of another one before it reads the list itself; the other
+/// may be starting too.
+const COPY_LIMIT: Duration = Duration::from_millis(600);
+
 /// Time for which an instance without a place reads the store before it looks for a reader again.
 const UNPLACED_READ_TIME: Duration = Duration::from_secs(10);
 
@@ -111,16 +117,20 @@
     pub async fn run(mut self) {
         while !self.parts.events.is_closed() {
             match self.parts.places.choose().await {
-                Ok(ReaderChoice::Reads(place)) => {
+                Ok(ReaderChoice::Reads(place, earlier)) => {
                     self.note_answer();
-                    self.read(Some(place)).await;
+                    self.parts.mirror.set_reader(true);
+                    let known = self.copy_entries(&earlier).await;
+                    self.read(Some(place), known).await;
                 }
                 Ok(ReaderChoice::Follows(readers)) => {
                     self.note_answer();
+                    self.parts.mirror.set_reader(false);
                     self.follow_or_read(readers).await;
                 }
                 Err(error) => {
                     self.note_failure(&error);
+                    self.parts.mirror.set_reader(false);
                     let readers = self.known_readers();
                     if !self.follow_any(readers).await {
                         self.pause().await;
@@ -160,7 +170,7 @@
             sleep(FOLLOW_PAUSE).await;
         } else {
             info!("store_read_without_place");
-            self.read(None).await;
+            self.read(None, self.revision).await;
         }
     }
 
@@ -210,6 +220,33 @@
         is_followed
     }
 
+    /// Takes the entries from a reader that holds an earlier place, so that the list of all entries
+    /// crosses to another region once and not once for each place; none if there is no such reader soon.
+    async fn copy_entries(&mut self, earlier: &[SocketAddr]) -> Option<StoreRevision> {
+        let until = Instant::now() + COPY_LIMIT;
+        while !earlier.is_empty() && Instant::now() < until {
+            for reader in earlier {
+                let copy = async {
+                    let known = self.revision.unwrap_or_default();
+                    ReaderLink::open(*reader, known).await?.next().await
+                };
+                match timeout_at(until, copy).await {
+                    Ok(Ok(ReaderNews::Snapshot(entries, revision))) => {
+                        info!("entries_copied reader={reader}");
+                        self.parts.mirror.replace(&entries, revision);
+                        self.replace_all(entries);
+                        self.revision = Some(revision);
+                        return self.revision;
+                    }
+                    Ok(Ok(ReaderNews::Changes(..))) | Err(_) => {}
+                    Ok(Err(error)) => debug!("entries_not_copied reader={reader} error={error:?}"),
+                }
+            }
+            sleep(FOLLOW_PAUSE / 2).await;
+        }
+        None
+    }
+
     fn take_news(&mut self, news: ReaderNews) {
         match news {
             ReaderNews::Snapshot(entries, revision) => {
@@ -224,11 +261,11 @@
     }
 
     /// Reads the store: with a place as long as that is held, without one for a while.
-    async fn read(&mut self, place: Option<ReaderPlace>) {
+    ///
+    /// Reads the list first if no entries are known.
+    async fn read(&mut self, place: Option<ReaderPlace>, known: Option<StoreRevision>) {
         let until = Instant::now() + UNPLACED_READ_TIME;
-        self.parts.mirror.set_reader(place.is_some());
-        // Followers need the whole list once.
-        let mut after = self.revision.filter(|_| place.is_none());
+        let mut after = known;
         let goes_on = || match &place {
             Some(place) => place.is_held(),
             None => Instant::now() < until,
