--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -424,10 +424,11 @@
         self.statistics.refused(reason);
         let may_log = self.may_log(now);
         let inputs = may_log.then(|| self.describe_inputs(client, now));
-        let request = self.client(client).and_then(|s| s.request.as_ref());
-        let retry_after = request.map(|request| {
+        let retry_after = self.client(client).and_then(|session| {
+            let request = session.request.as_ref()?;
             let waited = now.since(request.received_at);
-            self.retry_after(request.group, reason, waited, now)
+            let needs_primary = session.needs_primary();
+            Some(self.retry_after(request.group, reason, needs_primary, waited, now))
         });
         let Some(session) = self.client_mut(client) else {
             return;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -457,6 +457,7 @@
             .open_transaction()
             .is_some_and(|open| open.has_written);
         let client_code = client_code(&code);
+        let needs_primary = session.is_writing();
         if is_open {
             session.transaction = if is_commit {
                 SessionTransaction::None
@@ -487,7 +488,7 @@
         let error = ClientError {
             retry_after: is_promise.then(|| {
                 let waited = now.since(request.received_at);
-                self.retry_after(place.group, reason, waited, now)
+                self.retry_after(place.group, reason, needs_primary, waited, now)
             }),
             ..ClientError::new(client_code, &text)
         };
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -50,16 +50,16 @@
         &self,
         group: GroupIndex,
         reason: RefusalReason,
+        needs_primary: bool,
         waited: Duration,
         now: MonoTime,
     ) -> Duration {
         let state = &self.groups[group.0];
+        let is_leaderless = state.primary.is_none() || state.suspicion.suspected_since().is_some();
         let span = match reason {
             RefusalReason::Unreachable => RETRY_ELSEWHERE,
             RefusalReason::NoPrimary => self.expected_primary(state, now),
-            RefusalReason::TransactionLost if state.primary.is_none() => {
-                self.expected_primary(state, now)
-            }
+            _ if is_leaderless && needs_primary => self.expected_primary(state, now),
             // An estimate below what the statement has waited already was wrong for it.
             _ => expected_drain(state, now).max(waited / 2),
         };
@@ -76,6 +76,7 @@
         }
         let elapsed = state
             .leaderless_since
+            .or(state.suspicion.suspected_since())
             .map_or(Duration::ZERO, |since| now.since(since));
         usual
             .saturating_sub(elapsed)
--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -64,6 +64,8 @@
     running: Vec<(MonoTime, ConnectionId)>,
     answers: Vec<(MonoTime, ClientAnswer)>,
     clients: u64,
+    /// Whether the primary answers nothing.
+    is_failed: bool,
 }
 
 impl BusyPrimary {
@@ -83,6 +85,7 @@
             running: Vec::new(),
             answers: Vec::new(),
             clients: 0,
+            is_failed: false,
         };
         desk.tell(GatewayEvent::CatalogRead(catalog()));
         desk.tell(GatewayEvent::TargetsRead((0..3).map(entry).collect()));
@@ -126,11 +129,15 @@
                 ..
             } => {
                 self.targets.push((connection, usize::from(address.port())));
+                if self.is_failed && address.port() == 0 {
+                    return None;
+                }
                 Some(GatewayEvent::TargetOpened(connection))
             }
             GatewayAction::CallTarget { connection, call } => {
                 let found = self.targets.iter().find(|(id, _)| *id == connection);
                 let row = match (&call, found.unwrap().1) {
+                    (_, 0) if self.is_failed => return None,
                     (TargetCall::Status, 0) => "primary",
                     (TargetCall::Status, _) => "replica",
                     (TargetCall::Forward { .. }, _) => {
@@ -150,6 +157,24 @@
         }
     }
 
+    /// The primary answers nothing any more, and no store grants the duty of replacing it.
+    fn fail_primary(&mut self) {
+        self.is_failed = true;
+        self.running.clear();
+    }
+
+    /// Advice of all refusals that promise that nothing is kept.
+    fn advice(&mut self) -> Vec<Duration> {
+        let answers = std::mem::take(&mut self.answers);
+        let errors = answers
+            .into_iter()
+            .filter_map(|(_, answer)| answer.end.err());
+        errors
+            .filter(|error| error.code == ClientCode::Busy)
+            .map(|error| error.retry_after.expect("a refusal says when to come back"))
+            .collect()
+    }
+
     /// New clients each send a write.
     fn write(&mut self, count: u64) {
         for _ in 0..count {
@@ -277,3 +302,25 @@
     let (served, refused) = desk.take_answers();
     assert_eq!((served, refused.len()), (22, 0));
 }
+
+/// A write that is refused while its primary does not answer is told to come back when a successor is
+/// expected, not at the pace of the targets that still answer.
+#[test]
+fn advice_covers_the_failover() {
+    let mut desk = BusyPrimary::new(Duration::from_millis(20));
+    for _ in 0..20 {
+        desk.write(1);
+        desk.pass(Duration::from_millis(50));
+    }
+    desk.take_answers();
+    desk.fail_primary();
+    desk.write(3);
+    desk.pass(Duration::from_secs(2));
+    desk.write(3);
+    desk.pass(Duration::from_secs(2));
+    let advice = desk.advice();
+    assert!(!advice.is_empty());
+    for span in advice {
+        assert!(span >= Duration::from_millis(300), "{span:?} is too soon");
+    }
+}
