Read the entries while the place of a former run is taken again

Change: an instance whose former run held a place reads at once and takes the place beside that; it waits 0.4 s for the entries of an earlier reader.

--- a/crates/runner/src/readers.rs
+++ b/crates/runner/src/readers.rs
@@ -90,6 +90,7 @@
 }
 
 /// The places of a data centre.
+#[derive(Clone)]
 pub struct ReaderPlaces {
     /// The store.
     pub store: Arc<dyn StorePort>,
@@ -120,12 +121,16 @@
         } = view;
         free.shuffle(&mut rand::rng());
         others.shuffle(&mut rand::rng());
-        if let Some((path, expected)) = own.or_else(|| free.pop()) {
+        if let Some((path, expected)) = own {
+            // The place is taken beside the first reading: each call takes long where the store is slow.
+            let place = self.retake(path.clone(), expected);
+            return Ok(ReaderChoice::Reads(place, holders_before(&others, &path)));
+        }
+        if let Some((path, expected)) = free.pop() {
             match self.take(&path, expected).await? {
-                Ok(place) => {
-                    let earlier = others.into_iter().filter(|(known, _)| *known < path);
-                    let earlier = earlier.map(|(_, address)| address).collect();
-                    return Ok(ReaderChoice::Reads(place, earlier));
+                Ok(lease) => {
+                    let place = self.hold(lease);
+                    return Ok(ReaderChoice::Reads(place, holders_before(&others, &path)));
                 }
                 Err(holder) => others.extend(holder.map(|holder| (path, holder))),
             }
@@ -171,7 +176,7 @@
         &self,
         path: &str,
         expected: Option<StoreRevision>,
-    ) -> Result<Result<ReaderPlace, Option<SocketAddr>>, StoreError> {
+    ) -> Result<Result<LeaseId, Option<SocketAddr>>, StoreError> {
         let value = serde_json::to_vec(&self.own)
             .map_err(|error| StoreError::Rejected(error.to_string()))?;
         let lease = self.store.grant_lease(self.lease).await?;
@@ -180,24 +185,61 @@
             .compare_and_swap(path, expected, value, Some(lease))
             .await?;
         if let SwapReply::Conflict(holder) = swapped {
-            let holder = holder
-                .as_ref()
-                .and_then(|entry| decode(&entry.path, &entry.value));
+            let holder = holder.and_then(|entry| decode(&entry.path, &entry.value));
             return Ok(Err(holder.map(|holder| holder.address)));
         }
         info!("reader_place_taken path={path}");
+        Ok(Ok(lease))
+    }
+
+    /// Holds a place under its lease.
+    fn hold(&self, lease: LeaseId) -> ReaderPlace {
+        let keeper = self.keeper(lease);
+        let is_held = keeper.is_held.clone();
+        let renewal = tokio::spawn(keeper.run(self.is_leaving.clone()));
+        ReaderPlace { is_held, renewal }
+    }
+
+    /// Holds the place of this instance's former run, and takes it meanwhile.
+    fn retake(&self, path: String, expected: Option<StoreRevision>) -> ReaderPlace {
+        let places = self.clone();
         let is_held = Arc::new(AtomicBool::new(true));
-        let keeper = PlaceKeeper {
+        let held = is_held.clone();
+        let renewal = tokio::spawn(async move {
+            match places.take(&path, expected).await {
+                Ok(Ok(lease)) => {
+                    let keeper = PlaceKeeper {
+                        is_held: held,
+                        ..places.keeper(lease)
+                    };
+                    keeper.run(places.is_leaving.clone()).await;
+                }
+                Ok(Err(_)) => held.store(false, Ordering::Relaxed),
+                Err(error) => {
+                    info!("reader_place_not_taken error={:?}", error.to_string());
+                    held.store(false, Ordering::Relaxed);
+                }
+            }
+        });
+        ReaderPlace { is_held, renewal }
+    }
+
+    fn keeper(&self, lease: LeaseId) -> PlaceKeeper {
+        PlaceKeeper {
             store: self.store.clone(),
             lease,
-            is_held: is_held.clone(),
+            is_held: Arc::new(AtomicBool::new(true)),
             mirror: self.mirror.clone(),
-        };
-        let renewal = tokio::spawn(keeper.run(self.is_leaving.clone()));
-        Ok(Ok(ReaderPlace { is_held, renewal }))
+        }
     }
 }
 
+/// Addresses of those that hold places before one.
+fn holders_before(others: &[(String, SocketAddr)], path: &str) -> Vec<SocketAddr> {
+    let earlier = others.iter().filter(|(known, _)| known.as_str() < path);
+    earlier.map(|(_, address)| *address).collect()
+}
+
 fn decode(path: &str, value: &[u8]) -> Option<ReaderValue> {
     match serde_json::from_slice(value) {
         Ok(value) => Some(value),
--- a/crates/runner/src/watch.rs
+++ b/crates/runner/src/watch.rs
@@ -57,7 +57,7 @@
 
 /// Time for which a reader waits for the entries of another one before it reads the list itself; the other
 /// may be starting too.
-const COPY_LIMIT: Duration = Duration::from_millis(600);
+const COPY_LIMIT: Duration = Duration::from_millis(400);
 
 /// Time for which an instance without a place reads the store before it looks for a reader again.
 const UNPLACED_READ_TIME: Duration = Duration::from_secs(10);
