Acknowledge commits only with a copy at a listed target that stays

Change: a commit's answer waits until a listed, established replica that stays reports its position; it is in doubt otherwise. Answers of replicas count, and status calls go out at once. Positions by quorum count targets that are leaving.

Tests: write_needs_a_listed_copy, new_target_is_no_listed_copy, write_goes_on_while_entries_lapse.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -277,6 +277,7 @@
     fn list_target(&mut self, entry: TargetEntry, now: MonoTime) {
         let group = self.group_index(&entry.group, now);
         let state = &mut self.groups[group.0];
+        let is_back = state.has_vanished(&entry.target);
         state.note_vanished(&entry.target, false, now);
         let Some(target) = state.find(&entry.target) else {
             // Thousands of targets may be listed at once, of which other lines give the number.
@@ -292,6 +293,9 @@
             if let Some(lane) = state.lane_mut(target) {
                 lane.surplus_after = now + self.settings.surplus_pause;
                 lane.leaving_since = is_leaving.then_some(now);
+                if self.listed_since.is_some() && !is_back {
+                    lane.listed_at = now;
+                }
             }
             state.note_size();
             return;
@@ -323,6 +327,7 @@
         if is_reborn {
             lane.must_confirm = true;
             lane.report = None;
+            lane.shown = None;
             lane.open_after = now;
             state.tracker.forget_replica(target);
             self.close_lane(group, target, now);
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -17,6 +17,7 @@
 use crate::lane::ControlPurpose;
 use crate::lane::TargetLane;
 use crate::message::ClientId;
+use crate::message::StatusReport;
 use crate::message::TargetCall;
 use crate::promotion::PromotionRun;
 
@@ -54,6 +55,8 @@
     pub held: Vec<ClientId>,
     /// Replica and time of the evidence call that is under way.
     pub check: Option<(TargetIndex, MonoTime)>,
+    /// When replicas were last asked whether they have a commit whose answer waits.
+    pub copies_asked_at: MonoTime,
     /// Latest time that evidence is wanted for.
     pub check_wanted: Option<MonoTime>,
     /// Since when evidence has been wanted and not come.
@@ -101,6 +104,7 @@
             queue: Vec::new(),
             held: Vec::new(),
             check: None,
+            copies_asked_at: MonoTime::ZERO,
             check_wanted: None,
             unproved_since: None,
             ahead_since: None,
@@ -195,7 +199,14 @@
     }
 
     /// Number of targets of which one holds every acknowledged commit: all but those copies that may
-    /// be elsewhere.
+    /// be elsewhere. Targets that are leaving hold copies as well.
+    pub fn reports_quorum(&self, now: MonoTime) -> usize {
+        let leaving = self.targets().filter(|(_, lane)| lane.is_leaving());
+        self.copies_quorum(now) + leaving.count()
+    }
+
+    /// Number of targets that stay of which one holds every acknowledged commit that is not on those that
+    /// are leaving alone.
     pub fn copies_quorum(&self, now: MonoTime) -> usize {
         let sync = self
             .rule
@@ -225,6 +236,24 @@
             .max(1)
     }
 
+    /// Whether a replica that every instance knows has what the primary had at a position.
+    ///
+    /// A target takes records before it is listed, and a promotion knows nothing of it; so the primary's
+    /// word that some replica has a commit does not mean that the commit outlives a promotion.
+    pub fn is_copied(&self, position: GroupPosition, now: MonoTime) -> bool {
+        self.targets().any(|(i, lane)| {
+            let has_it = |(_, report): (MonoTime, StatusReport)| {
+                report.term == self.term && report.received >= position
+            };
+            let has_shown_it = lane
+                .shown
+                .is_some_and(|shown| shown.term == self.term && shown >= position);
+            let is_known = Some(i) != self.primary && is_established(lane, now);
+            // The log of a target that is leaving goes with it.
+            is_known && !lane.is_leaving() && (has_shown_it || lane.report.is_some_and(has_it))
+        })
+    }
+
     /// Records the number of targets, once the list of targets has been read.
     pub fn note_size(&mut self) {
         let has_leaving = self.targets().any(|(_, lane)| lane.is_leaving());
@@ -233,6 +262,11 @@
         }
     }
 
+    /// Whether a target was removed without its leaving, a short while ago.
+    pub fn has_vanished(&self, target: &str) -> bool {
+        self.vanished.iter().any(|(known, _)| known == target)
+    }
+
     /// Records that a target is listed or has been removed without its leaving.
     pub fn note_vanished(&mut self, target: &str, is_vanished: bool, now: MonoTime) {
         self.vanished.retain(|(known, _)| known != target);
@@ -249,7 +283,7 @@
     /// Dates the position that all acknowledged commits are at or before, from the reports of enough
     /// targets: each of these commits is in the log of one of them.
     pub fn observe_quorum(&mut self, now: MonoTime) {
-        let needed = self.copies_quorum(now);
+        let needed = self.reports_quorum(now);
         if !self.is_synchronous() {
             return;
         }
@@ -456,6 +490,9 @@
 /// cut between a target and the store lasts as a rule.
 const VANISHED_MEMORY: Duration = Duration::from_secs(120);
 
+/// Time after which a listed target is known to all instances that the store answers.
+const ESTABLISHED_AGE: Duration = Duration::from_millis(1_500);
+
 /// Time without a primary after which targets that are gone do not count any more: they will not come
 /// back, and the group would stay without a primary for ever.
 const LONG_LEADERLESS: Duration = Duration::from_secs(15);
@@ -463,6 +500,11 @@
 /// Age up to which a target's count of connections is used.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
 
+/// Whether all instances know a target. One whose entry lapses goes on counting, as it does in promotions.
+fn is_established(lane: &TargetLane, now: MonoTime) -> bool {
+    now.since(lane.listed_at) >= ESTABLISHED_AGE
+}
+
 pub(crate) fn index_of(i: usize) -> TargetIndex {
     TargetIndex(u16::try_from(i).expect("a group has fewer than 65,536 targets"))
 }
--- a/crates/gateway/src/lane.rs
+++ b/crates/gateway/src/lane.rs
@@ -9,6 +9,7 @@
 use heatherhollow_limits::FailureRate;
 use heatherhollow_limits::SmoothedTime;
 use heatherhollow_limits::WindowMaximum;
+use heatherhollow_types::GroupPosition;
 use heatherhollow_types::MonoTime;
 use heatherhollow_types::TermNumber;
 
@@ -233,6 +234,9 @@
 #[derive(Debug, Clone)]
 pub(crate) struct TargetLane {
     pub entry: TargetEntry,
+    /// When it was first listed; the beginning of time if it was in the first list, or is back after its
+    /// entry lapsed.
+    pub listed_at: MonoTime,
     /// Since when it has not been listed.
     pub missing_since: Option<MonoTime>,
     /// Since when it has been leaving.
@@ -256,6 +260,8 @@
     pub rest_until: MonoTime,
     /// Whether its role has to be confirmed before primary work is sent to it.
     pub must_confirm: bool,
+    /// Highest position that its answers to statements have shown.
+    pub shown: Option<GroupPosition>,
     /// Last report and when it was asked for.
     pub report: Option<(MonoTime, StatusReport)>,
     /// Since when its reports have shown a pause.
@@ -275,6 +281,7 @@
         Self {
             entry,
             statement_limit,
+            listed_at: MonoTime::ZERO,
             missing_since: None,
             leaving_since: None,
             connections: Vec::new(),
@@ -287,6 +294,7 @@
             open_failures: 0,
             rest_until: MonoTime::ZERO,
             must_confirm: true,
+            shown: None,
             report: None,
             paused_since: None,
             step_down_at: None,
--- a/crates/gateway/src/losses.rs
+++ b/crates/gateway/src/losses.rs
@@ -151,6 +151,10 @@
         match (stage, open.is_some()) {
             // The connection had already been given back.
             (RequestStage::Queued, _) | (RequestStage::Held { .. }, false) => {}
+            (RequestStage::Held { .. }, true) if kind == RequestKind::Commit && has_written => {
+                let reason = lost_reason(is_late);
+                self.put_in_doubt(client, reason, now);
+            }
             (RequestStage::Held { .. }, true) => self.abort_transaction(client, now),
             (_, false) if kind == RequestKind::Write && is_sent => {
                 let reason = lost_reason(is_late);
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -246,6 +246,7 @@
         self.remove_missing(group, now);
         self.fail_silent(group, now);
         self.close_surplus(group, now);
+        self.ask_for_copies(group, now);
         let interval = self.settings.observe_interval;
         let state = &mut self.groups[group.0];
         let paused = state
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,6 +4,8 @@
 //! target said that it did not run, it only read, or its transaction is rolled back because its commit
 //! was never sent and its connection is closed. A write or commit that may have run is in doubt.
 
+use std::time::Duration;
+
 use log::debug;
 use log::info;
 
@@ -36,6 +38,9 @@
 use crate::session::SessionTransaction;
 use crate::statistics::LatencyKind;
 
+/// Time between two questions to replicas for a commit; about the usual delay of replication.
+const COPY_INTERVAL: Duration = Duration::from_millis(20);
+
 impl SessionGateway {
     /// A connection was opened: starts its session.
     pub(crate) fn start_connection(&mut self, id: ConnectionId, now: MonoTime) {
@@ -203,7 +208,6 @@
             return;
         }
         let is_synchronous = self.groups[place.group.0].is_synchronous();
-        self.note_commit(client, sent_at);
         let Some(session) = self.client_mut(client) else {
             return;
         };
@@ -214,6 +218,12 @@
             .open_transaction()
             .is_some_and(|open| open.is_verified);
         let is_read = request.kind == RequestKind::Read;
+        let is_commit = match (request.kind, session.open_transaction()) {
+            (RequestKind::Write, None) => true,
+            (RequestKind::Commit, Some(open)) => open.has_written,
+            _ => false,
+        };
+        let needs_copy = is_commit && is_synchronous;
         let needs_proof = request.is_at_primary && !is_verified && (is_read || !is_synchronous);
         // A write without a replica's copy has to be proved after its commit.
         let needs = if is_read {
@@ -221,9 +231,18 @@
         } else {
             now
         };
-        if needs_proof && !self.is_proved(client, needs) {
+        let is_held = if needs_copy {
+            !self.has_copy(place.group, &answer, now)
+        } else {
+            needs_proof && !self.is_proved(client, needs)
+        };
+        if is_held {
             if let Some(request) = self.client_mut(client).and_then(|s| s.request.as_mut()) {
-                request.stage = RequestStage::Held { answer, needs };
+                request.stage = RequestStage::Held {
+                    answer,
+                    needs,
+                    needs_copy,
+                };
             }
             let is_pinned = self
                 .client(client)
@@ -232,15 +251,22 @@
                 self.release(id, now);
             }
             let state = &mut self.groups[place.group.0];
-            state.want_check(needs);
             state.held.push(client);
+            if needs_copy {
+                self.ask_for_copies(place.group, now);
+            } else {
+                state.want_check(needs);
+            }
             return;
         }
+        if needs_copy {
+            self.note_commit(client, sent_at);
+        }
         self.deliver(client, answer, now);
     }
 
-    /// Takes an acknowledged commit as evidence that the primary led when it was sent: a replica took
-    /// its record after that, so no promotion had paused all replicas before.
+    /// Takes a commit that a listed replica has as evidence that the primary led when it was sent: the
+    /// replica took its record after that, so no promotion had paused all replicas before.
     pub(crate) fn note_commit(&mut self, client: ClientId, sent_at: MonoTime) {
         let Some(session) = self.client(client) else {
             return;
@@ -269,6 +295,38 @@
         state.term == request.term && state.led_at.is_some_and(|led_at| led_at >= needs)
     }
 
+    /// Whether a listed replica has the commit that an answer acknowledges.
+    fn has_copy(&self, group: GroupIndex, answer: &TargetAnswer, now: MonoTime) -> bool {
+        let copied = |position| self.groups[group.0].is_copied(position, now);
+        answer.position.is_some_and(copied)
+    }
+
+    /// Asks the replicas of a group whether they have the commits whose answers wait.
+    pub(crate) fn ask_for_copies(&mut self, group: GroupIndex, now: MonoTime) {
+        let state = &self.groups[group.0];
+        let is_waiting = state.held.iter().any(|client| {
+            let request = self.client(*client).and_then(|s| s.request.as_ref());
+            let stage = request.map(|request| &request.stage);
+            matches!(
+                stage,
+                Some(RequestStage::Held {
+                    needs_copy: true,
+                    ..
+                })
+            )
+        });
+        if !is_waiting || now.since(state.copies_asked_at) < COPY_INTERVAL {
+            return;
+        }
+        let state = &mut self.groups[group.0];
+        state.copies_asked_at = now;
+        let replicas = state.targets().map(|(i, _)| i);
+        let replicas = replicas.filter(|i| Some(*i) != state.primary);
+        for target in replicas.collect::<Vec<_>>() {
+            state.control(target, ControlPurpose::Observe, TargetCall::Status, now);
+        }
+    }
+
     /// Delivers held answers for which there is evidence now; those of an earlier term are given up.
     pub(crate) fn release_held(&mut self, group: GroupIndex, now: MonoTime) {
         let held = std::mem::take(&mut self.groups[group.0].held);
@@ -277,14 +335,27 @@
             let Some(request) = self.client(client).and_then(|s| s.request.as_ref()) else {
                 continue;
             };
-            let RequestStage::Held { answer, needs } = &request.stage else {
+            let RequestStage::Held {
+                answer,
+                needs,
+                needs_copy,
+            } = &request.stage
+            else {
                 continue;
             };
+            let is_proved = if *needs_copy {
+                self.has_copy(group, answer, now)
+            } else {
+                self.is_proved(client, *needs)
+            };
             if request.term != self.groups[group.0].term {
                 self.end_unproved(client, now);
-            } else if self.is_proved(client, *needs) {
+            } else if is_proved {
                 let answer = answer.clone();
                 let sent_at = request.sent_at;
+                if *needs_copy {
+                    self.note_commit(client, sent_at);
+                }
                 self.statistics
                     .latency(LatencyKind::Evidence, now.since(sent_at));
                 self.deliver(client, answer, now);
@@ -613,6 +684,12 @@
             state.sampled_at = state.sampled_at.max(sent_at);
         } else if !is_primary {
             state.tracker.observe_replica(place.target, now, position);
+            if let Some(lane) = state.lane_mut(place.target) {
+                lane.shown = lane.shown.max(Some(position));
+            }
+            if !state.held.is_empty() {
+                self.release_held(place.group, now);
+            }
         }
     }
 }
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -51,6 +51,8 @@
         answer: TargetAnswer,
         /// Time from which on the evidence counts.
         needs: MonoTime,
+        /// Whether a copy of the commit at a listed replica is the evidence, instead of leadership.
+        needs_copy: bool,
     },
 }
 
--- a/crates/gateway/tests/promises.rs
+++ b/crates/gateway/tests/promises.rs
@@ -116,6 +116,9 @@
     // The stand-in let an overtaken message cut back a replica's log before its primary crashed.
     let world = play(7_157_684_372_322_186_180, options(4));
     assert_eq!(world.violations, Vec::<String>::new());
+    // A commit whose answer was held was told to be rolled back when its connection ended.
+    let world = play(416_900_738_983_942_317, options(5));
+    assert_eq!(world.violations, Vec::<String>::new());
 }
 
 /// The checks notice targets that go on taking records while paused: an old primary that is cut off
--- a/crates/gateway/tests/statements.rs
+++ b/crates/gateway/tests/statements.rs
@@ -562,3 +562,77 @@
         "the hanging target got {hung} of 12 reads"
     );
 }
+
+fn committed_at(position: u64) -> TargetAnswer {
+    TargetAnswer {
+        position: Some(GroupPosition::new(1, position)),
+        ..success("", "sig", SessionState::Idle)
+    }
+}
+
+/// A commit may have its only other copy at a target that is not listed yet. A promotion would not ask
+/// that one, so the commit is acknowledged only once a listed target has it.
+#[test]
+fn write_needs_a_listed_copy() {
+    for (position, expected) in [(10, None), (11, Some(ClientCode::InDoubt))] {
+        let mut desk = Desk::new("present");
+        assert_eq!(desk.send(Statement::Write), None);
+        // The replicas report position 10.
+        let mut told = desk.answer(committed_at(position));
+        for _ in 0..60 {
+            desk.pass(20);
+            told = told.or_else(|| desk.answers.pop());
+        }
+        assert!(told.is_some(), "the write at {position} got no answer");
+        assert_eq!(code(told), expected);
+    }
+}
+
+/// A target that has just been listed may be unknown to the instance that orders a promotion.
+#[test]
+fn new_target_is_no_listed_copy() {
+    let mut desk = Desk::new("present");
+    for target in 1..3 {
+        desk.tell(GatewayEvent::TargetUnlisted(format!("t{target}")));
+    }
+    for _ in 0..40 {
+        desk.pass(100);
+    }
+    desk.tell(GatewayEvent::TargetListed(entry(3)));
+    desk.pass(100);
+    assert_eq!(desk.send(Statement::Write), None);
+    let mut told = desk.answer(committed_at(10));
+    for _ in 0..60 {
+        desk.pass(20);
+        told = told.or_else(|| desk.answers.pop());
+    }
+    assert_eq!(code(told), Some(ClientCode::InDoubt));
+}
+
+/// An outage of the store in which all entries lapse and come back is no replacement: writes go on.
+#[test]
+fn write_goes_on_while_entries_lapse() {
+    let mut desk = Desk::new("present");
+    for target in 0..3 {
+        desk.tell(GatewayEvent::TargetUnlisted(format!("t{target}")));
+    }
+    assert_eq!(desk.send(Statement::Write), None);
+    let answer = desk.answer(committed_at(10)).unwrap();
+    assert_eq!(answer.end, Ok(Some("sig".to_string())));
+    for _ in 0..40 {
+        desk.pass(100);
+    }
+    for target in 0..3 {
+        desk.tell(GatewayEvent::TargetListed(entry(target)));
+    }
+    for _ in 0..5 {
+        desk.pass(100);
+    }
+    assert_eq!(desk.send(Statement::Write), None);
+    let mut told = desk.answer(committed_at(10));
+    for _ in 0..20 {
+        desk.pass(20);
+        told = told.or_else(|| desk.answers.pop());
+    }
+    assert_eq!(told.unwrap().end, Ok(Some("sig".to_string())));
+}
