Split held answers from the relay; share the desk of the gateway's tests

What an answer needs is a type (leadership at a time, or a copy) instead of a time and a flag. A commit needs a copy also where its target is not known to lead any more, as before the split.

--- /dev/null
+++ b/crates/gateway/src/held.rs
@@ -0,0 +1,215 @@
+//! Answers that wait for evidence: reads of the primary until it is known to have led, and commits until
+//! a listed replica that stays has a copy.
+//!
+//! Load that this answers: primaries that are cut off, and targets that come and go while one is replaced.
+
+use std::time::Duration;
+
+use heatherhollow_types::MonoTime;
+use heatherhollow_types::RetryReason;
+use heatherhollow_types::UnknownReason;
+
+use crate::core::ConnectionPlace;
+use crate::core::SessionGateway;
+use crate::group::GroupIndex;
+use crate::lane::ControlPurpose;
+use crate::message::ClientId;
+use crate::message::TargetAnswer;
+use crate::message::TargetCall;
+use crate::session::AnswerProof;
+use crate::session::RequestKind;
+use crate::session::RequestStage;
+use crate::statistics::LatencyKind;
+
+/// Time between two questions to replicas for a commit; about the usual delay of replication.
+const COPY_INTERVAL: Duration = Duration::from_millis(20);
+
+impl SessionGateway {
+    /// What the answer to a client's present request needs.
+    pub(crate) fn proof_needed(
+        &self,
+        group: GroupIndex,
+        client: ClientId,
+        now: MonoTime,
+    ) -> Option<AnswerProof> {
+        let session = self.client(client)?;
+        let request = session.request.as_ref()?;
+        let open = session.open_transaction();
+        let is_commit = match (request.kind, open) {
+            (RequestKind::Write, None) => true,
+            (RequestKind::Commit, Some(open)) => open.has_written,
+            _ => false,
+        };
+        let is_verified = open.is_some_and(|open| open.is_verified);
+        if is_commit && self.groups[group.0].is_synchronous() {
+            // Also where the target is not known to lead any more: its transaction may outlast that.
+            Some(AnswerProof::Copy)
+        } else if !request.is_at_primary {
+            None
+        } else if request.kind == RequestKind::Read {
+            let from = session.evidence_from().unwrap_or(now);
+            (!is_verified).then_some(AnswerProof::Lead(from))
+        } else {
+            // A write without a replica's copy has to be proved after its commit.
+            let is_alone = !self.groups[group.0].is_synchronous() && !is_verified;
+            is_alone.then_some(AnswerProof::Lead(now))
+        }
+    }
+
+    /// Whether the evidence that an answer needs is there.
+    pub(crate) fn has_proof(
+        &self,
+        group: GroupIndex,
+        client: ClientId,
+        answer: &TargetAnswer,
+        proof: AnswerProof,
+        now: MonoTime,
+    ) -> bool {
+        match proof {
+            AnswerProof::Lead(needs) => self.is_proved(client, needs),
+            AnswerProof::Copy => {
+                let copied = |position| self.groups[group.0].is_copied(position, now);
+                answer.position.is_some_and(copied)
+            }
+        }
+    }
+
+    /// Keeps an answer until its evidence comes, and asks for that.
+    pub(crate) fn hold(
+        &mut self,
+        place: ConnectionPlace,
+        client: ClientId,
+        answer: TargetAnswer,
+        proof: AnswerProof,
+        now: MonoTime,
+    ) {
+        let Some(session) = self.client_mut(client) else {
+            return;
+        };
+        let is_pinned = session.open_transaction().is_some();
+        if let Some(request) = &mut session.request {
+            request.stage = RequestStage::Held { answer, proof };
+        }
+        if !is_pinned {
+            self.release(place.connection, now);
+        }
+        let state = &mut self.groups[place.group.0];
+        state.held.push(client);
+        match proof {
+            AnswerProof::Lead(needs) => state.want_check(needs),
+            AnswerProof::Copy => self.ask_for_copies(place.group, now),
+        }
+    }
+
+    /// Takes a commit that a listed replica has as evidence that the primary led when it was sent: the
+    /// replica took its record after that, so no promotion had paused all replicas before.
+    pub(crate) fn note_commit(&mut self, client: ClientId, sent_at: MonoTime) {
+        let Some(session) = self.client(client) else {
+            return;
+        };
+        let Some(request) = session.request.as_ref().filter(|r| r.is_at_primary) else {
+            return;
+        };
+        let is_commit = match (request.kind, session.open_transaction()) {
+            (RequestKind::Write, None) => true,
+            (RequestKind::Commit, Some(open)) => open.has_written,
+            _ => false,
+        };
+        let (group, term) = (request.group, request.term);
+        let state = &mut self.groups[group.0];
+        if is_commit && state.is_synchronous() && state.term == term {
+            state.observe_lead(sent_at);
+        }
+    }
+
+    /// Whether the primary that the client's request was sent to is known to have led at `needs`.
+    pub(crate) fn is_proved(&self, client: ClientId, needs: MonoTime) -> bool {
+        let Some(request) = self.client(client).and_then(|s| s.request.as_ref()) else {
+            return false;
+        };
+        let state = &self.groups[request.group.0];
+        state.term == request.term && state.led_at.is_some_and(|led_at| led_at >= needs)
+    }
+
+    /// Asks the replicas of a group whether they have the commits whose answers wait.
+    pub(crate) fn ask_for_copies(&mut self, group: GroupIndex, now: MonoTime) {
+        let state = &self.groups[group.0];
+        let is_waiting = state.held.iter().any(|client| {
+            let request = self.client(*client).and_then(|s| s.request.as_ref());
+            let stage = request.map(|request| &request.stage);
+            matches!(
+                stage,
+                Some(RequestStage::Held {
+                    proof: AnswerProof::Copy,
+                    ..
+                })
+            )
+        });
+        if !is_waiting || now.since(state.copies_asked_at) < COPY_INTERVAL {
+            return;
+        }
+        let state = &mut self.groups[group.0];
+        state.copies_asked_at = now;
+        let replicas = state.targets().map(|(i, _)| i);
+        let replicas = replicas.filter(|i| Some(*i) != state.primary);
+        for target in replicas.collect::<Vec<_>>() {
+            state.control(target, ControlPurpose::Observe, TargetCall::Status, now);
+        }
+    }
+
+    /// Delivers held answers for which there is evidence now; those of an earlier term are given up.
+    pub(crate) fn release_held(&mut self, group: GroupIndex, now: MonoTime) {
+        let held = std::mem::take(&mut self.groups[group.0].held);
+        let mut waiting = Vec::new();
+        for client in held {
+            let Some(request) = self.client(client).and_then(|s| s.request.as_ref()) else {
+                continue;
+            };
+            let RequestStage::Held { answer, proof } = &request.stage else {
+                continue;
+            };
+            let is_proved = self.has_proof(group, client, answer, *proof, now);
+            if request.term != self.groups[group.0].term {
+                self.end_unproved(client, now);
+            } else if is_proved {
+                let answer = answer.clone();
+                let sent_at = request.sent_at;
+                if *proof == AnswerProof::Copy {
+                    self.note_commit(client, sent_at);
+                }
+                self.statistics
+                    .latency(LatencyKind::Evidence, now.since(sent_at));
+                self.deliver(client, answer, now);
+            } else {
+                waiting.push(client);
+            }
+        }
+        waiting.append(&mut self.groups[group.0].held);
+        self.groups[group.0].held = waiting;
+    }
+
+    /// Ends a request whose answer cannot be proved fresh: a single read is placed again.
+    pub(crate) fn end_unproved(&mut self, client: ClientId, now: MonoTime) {
+        let Some(session) = self.client(client) else {
+            return;
+        };
+        let Some(request) = &session.request else {
+            return;
+        };
+        let group = request.group;
+        let kind = request.kind;
+        let is_open = session.open_transaction().is_some();
+        self.groups[group.0].held.retain(|held| *held != client);
+        match kind {
+            RequestKind::Read if !is_open => {
+                self.statistics.retried(RetryReason::NotPrimary);
+                self.requeue(client, now);
+            }
+            RequestKind::Read => self.abort_transaction(client, now),
+            RequestKind::Write if is_open => self.abort_transaction(client, now),
+            RequestKind::Write | RequestKind::Commit => {
+                self.put_in_doubt(client, UnknownReason::PrimaryReplaced, now);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod expiry;
 mod forward;
 mod group;
+mod held;
 mod homes;
 mod lane;
 mod losses;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,8 +4,6 @@
 //! target said that it did not run, it only read, or its transaction is rolled back because its commit
 //! was never sent and its connection is closed. A write or commit that may have run is in doubt.
 
-use std::time::Duration;
-
 use log::debug;
 use log::info;
 
@@ -14,12 +12,10 @@
 use heatherhollow_types::RefusalReason;
 use heatherhollow_types::RetryReason;
 use heatherhollow_types::TargetIndex;
-use heatherhollow_types::UnknownReason;
 
 use crate::action::GatewayAction;
 use crate::core::ConnectionPlace;
 use crate::core::SessionGateway;
-use crate::group::GroupIndex;
 use crate::lane::CallPurpose;
 use crate::lane::ConnectionId;
 use crate::lane::ConnectionPhase;
@@ -32,15 +28,13 @@
 use crate::message::TargetAnswer;
 use crate::message::TargetCall;
 use crate::message::TargetCode;
+use crate::session::AnswerProof;
 use crate::session::ClientRequest;
 use crate::session::RequestKind;
 use crate::session::RequestStage;
 use crate::session::SessionTransaction;
 use crate::statistics::LatencyKind;
 
-/// Time between two questions to replicas for a commit; about the usual delay of replication.
-const COPY_INTERVAL: Duration = Duration::from_millis(20);
-
 impl SessionGateway {
     /// A connection was opened: starts its session.
     pub(crate) fn start_connection(&mut self, id: ConnectionId, now: MonoTime) {
@@ -207,187 +201,15 @@
             self.fail_statement(place, client, answer, now);
             return;
         }
-        let is_synchronous = self.groups[place.group.0].is_synchronous();
-        let Some(session) = self.client_mut(client) else {
-            return;
-        };
-        let Some(request) = &session.request else {
-            return;
-        };
-        let is_verified = session
-            .open_transaction()
-            .is_some_and(|open| open.is_verified);
-        let is_read = request.kind == RequestKind::Read;
-        let is_commit = match (request.kind, session.open_transaction()) {
-            (RequestKind::Write, None) => true,
-            (RequestKind::Commit, Some(open)) => open.has_written,
-            _ => false,
-        };
-        let needs_copy = is_commit && is_synchronous;
-        let needs_proof = request.is_at_primary && !is_verified && (is_read || !is_synchronous);
-        // A write without a replica's copy has to be proved after its commit.
-        let needs = if is_read {
-            session.evidence_from().unwrap_or(now)
-        } else {
-            now
-        };
-        let is_held = if needs_copy {
-            !self.has_copy(place.group, &answer, now)
-        } else {
-            needs_proof && !self.is_proved(client, needs)
-        };
-        if is_held {
-            if let Some(request) = self.client_mut(client).and_then(|s| s.request.as_mut()) {
-                request.stage = RequestStage::Held {
-                    answer,
-                    needs,
-                    needs_copy,
-                };
+        match self.proof_needed(place.group, client, now) {
+            Some(proof) if !self.has_proof(place.group, client, &answer, proof, now) => {
+                self.hold(place, client, answer, proof, now);
             }
-            let is_pinned = self
-                .client(client)
-                .is_some_and(|session| session.open_transaction().is_some());
-            if !is_pinned {
-                self.release(id, now);
-            }
-            let state = &mut self.groups[place.group.0];
-            state.held.push(client);
-            if needs_copy {
-                self.ask_for_copies(place.group, now);
-            } else {
-                state.want_check(needs);
-            }
-            return;
-        }
-        if needs_copy {
-            self.note_commit(client, sent_at);
-        }
-        self.deliver(client, answer, now);
-    }
-
-    /// Takes a commit that a listed replica has as evidence that the primary led when it was sent: the
-    /// replica took its record after that, so no promotion had paused all replicas before.
-    pub(crate) fn note_commit(&mut self, client: ClientId, sent_at: MonoTime) {
-        let Some(session) = self.client(client) else {
-            return;
-        };
-        let Some(request) = session.request.as_ref().filter(|r| r.is_at_primary) else {
-            return;
-        };
-        let is_commit = match (request.kind, session.open_transaction()) {
-            (RequestKind::Write, None) => true,
-            (RequestKind::Commit, Some(open)) => open.has_written,
-            _ => false,
-        };
-        let (group, term) = (request.group, request.term);
-        let state = &mut self.groups[group.0];
-        if is_commit && state.is_synchronous() && state.term == term {
-            state.observe_lead(sent_at);
-        }
-    }
-
-    /// Whether the primary that the client's request was sent to is known to have led at `needs`.
-    pub(crate) fn is_proved(&self, client: ClientId, needs: MonoTime) -> bool {
-        let Some(request) = self.client(client).and_then(|s| s.request.as_ref()) else {
-            return false;
-        };
-        let state = &self.groups[request.group.0];
-        state.term == request.term && state.led_at.is_some_and(|led_at| led_at >= needs)
-    }
-
-    /// Whether a listed replica has the commit that an answer acknowledges.
-    fn has_copy(&self, group: GroupIndex, answer: &TargetAnswer, now: MonoTime) -> bool {
-        let copied = |position| self.groups[group.0].is_copied(position, now);
-        answer.position.is_some_and(copied)
-    }
-
-    /// Asks the replicas of a group whether they have the commits whose answers wait.
-    pub(crate) fn ask_for_copies(&mut self, group: GroupIndex, now: MonoTime) {
-        let state = &self.groups[group.0];
-        let is_waiting = state.held.iter().any(|client| {
-            let request = self.client(*client).and_then(|s| s.request.as_ref());
-            let stage = request.map(|request| &request.stage);
-            matches!(
-                stage,
-                Some(RequestStage::Held {
-                    needs_copy: true,
-                    ..
-                })
-            )
-        });
-        if !is_waiting || now.since(state.copies_asked_at) < COPY_INTERVAL {
-            return;
-        }
-        let state = &mut self.groups[group.0];
-        state.copies_asked_at = now;
-        let replicas = state.targets().map(|(i, _)| i);
-        let replicas = replicas.filter(|i| Some(*i) != state.primary);
-        for target in replicas.collect::<Vec<_>>() {
-            state.control(target, ControlPurpose::Observe, TargetCall::Status, now);
-        }
-    }
-
-    /// Delivers held answers for which there is evidence now; those of an earlier term are given up.
-    pub(crate) fn release_held(&mut self, group: GroupIndex, now: MonoTime) {
-        let held = std::mem::take(&mut self.groups[group.0].held);
-        let mut waiting = Vec::new();
-        for client in held {
-            let Some(request) = self.client(client).and_then(|s| s.request.as_ref()) else {
-                continue;
-            };
-            let RequestStage::Held {
-                answer,
-                needs,
-                needs_copy,
-            } = &request.stage
-            else {
-                continue;
-            };
-            let is_proved = if *needs_copy {
-                self.has_copy(group, answer, now)
-            } else {
-                self.is_proved(client, *needs)
-            };
-            if request.term != self.groups[group.0].term {
-                self.end_unproved(client, now);
-            } else if is_proved {
-                let answer = answer.clone();
-                let sent_at = request.sent_at;
-                if *needs_copy {
+            proof => {
+                if proof == Some(AnswerProof::Copy) {
                     self.note_commit(client, sent_at);
                 }
-                self.statistics
-                    .latency(LatencyKind::Evidence, now.since(sent_at));
                 self.deliver(client, answer, now);
-            } else {
-                waiting.push(client);
-            }
-        }
-        waiting.append(&mut self.groups[group.0].held);
-        self.groups[group.0].held = waiting;
-    }
-
-    /// Ends a request whose answer cannot be proved fresh: a single read is placed again.
-    pub(crate) fn end_unproved(&mut self, client: ClientId, now: MonoTime) {
-        let Some(session) = self.client(client) else {
-            return;
-        };
-        let Some(request) = &session.request else {
-            return;
-        };
-        let group = request.group;
-        let kind = request.kind;
-        let is_open = session.open_transaction().is_some();
-        self.groups[group.0].held.retain(|held| *held != client);
-        match kind {
-            RequestKind::Read if !is_open => {
-                self.statistics.retried(RetryReason::NotPrimary);
-                self.requeue(client, now);
-            }
-            RequestKind::Read => self.abort_transaction(client, now),
-            RequestKind::Write if is_open => self.abort_transaction(client, now),
-            RequestKind::Write | RequestKind::Commit => {
-                self.put_in_doubt(client, UnknownReason::PrimaryReplaced, now);
             }
         }
     }
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -29,6 +29,15 @@
     Commit,
 }
 
+/// What an answer of a primary needs before it is passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AnswerProof {
+    /// The target led at this time or later.
+    Lead(MonoTime),
+    /// A listed replica that stays has the commit.
+    Copy,
+}
+
 /// How far a request has come.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum RequestStage {
@@ -45,14 +54,12 @@
         /// Number of the forwarding; an answer to an earlier one may still come.
         serial: u64,
     },
-    /// Its answer waits for evidence that the target still led at this time.
+    /// Its answer waits for evidence.
     Held {
         /// The answer.
         answer: TargetAnswer,
-        /// Time from which on the evidence counts.
-        needs: MonoTime,
-        /// Whether a copy of the commit at a listed replica is the evidence, instead of leadership.
-        needs_copy: bool,
+        /// What it waits for.
+        proof: AnswerProof,
     },
 }
 
--- a/crates/gateway/tests/statements.rs
+++ b/crates/gateway/tests/statements.rs
@@ -1,5 +1,7 @@
 //! Each kind of statement and each promise, with one gateway and targets that answer by hand.
 
+mod desk;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,38 +24,15 @@
 use heatherhollow_gateway::SessionRoute;
 use heatherhollow_gateway::SessionState;
 use heatherhollow_gateway::Statement;
-use heatherhollow_gateway::StatusFormat;
-use heatherhollow_gateway::StatusReport;
 use heatherhollow_gateway::TargetAnswer;
 use heatherhollow_gateway::TargetCall;
 use heatherhollow_gateway::TargetCode;
-use heatherhollow_gateway::TargetEntry;
-use heatherhollow_gateway::TargetRole;
-use heatherhollow_gateway::TargetState;
 use heatherhollow_types::GroupPosition;
 use heatherhollow_types::MonoTime;
-use heatherhollow_types::TermNumber;
-
-/// Status rows are `primary` and `replica` at the same position.
-struct RoleFormat;
-
-impl StatusFormat for RoleFormat {
-    fn decode(&self, row: &str) -> Option<StatusReport> {
-        Some(StatusReport {
-            role: match row {
-                "primary" => TargetRole::Primary,
-                "replica" => TargetRole::Replica,
-                _ => return None,
-            },
-            term: TermNumber(1),
-            received: GroupPosition::new(1, 10),
-            paused_for: None,
-            lag: Duration::ZERO,
-            busy_slots: 0,
-            connections: 3,
-        })
-    }
-}
+
+use desk::RoleFormat;
+use desk::entry;
+use desk::success;
 
 /// A call of a client's statement that waits for its answer.
 type WaitingCall = (ConnectionId, usize, TargetCall);
@@ -198,19 +177,6 @@
     }
 }
 
-fn entry(target: usize) -> TargetEntry {
-    TargetEntry {
-        target: format!("t{target}"),
-        group: "ledger".to_string(),
-        address: format!("127.0.0.1:{target}").parse().unwrap(),
-        data_centre: "dc".parse().unwrap(),
-        slots: 3,
-        state: TargetState::Ready,
-        role: None,
-        born: 1,
-    }
-}
-
 fn catalog() -> Catalog {
     let route = |database: &str, freshness| SessionRoute {
         database: database.to_string(),
@@ -236,21 +202,6 @@
     }
 }
 
-fn success(row: &str, signature: &str, state: SessionState) -> TargetAnswer {
-    TargetAnswer {
-        rows: if row.is_empty() {
-            Vec::new()
-        } else {
-            vec![row.to_string()]
-        },
-        end: AnswerEnd::Complete {
-            signature: signature.to_string(),
-        },
-        state,
-        position: Some(GroupPosition::new(1, 10)),
-    }
-}
-
 fn failure(code: TargetCode, state: SessionState) -> TargetAnswer {
     TargetAnswer {
         rows: Vec::new(),
--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -1,9 +1,10 @@
 //! What waits for a target that is busy, and what is refused, with the advice that clients get.
 
+mod desk;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use heatherhollow_gateway::AnswerEnd;
 use heatherhollow_gateway::Catalog;
 use heatherhollow_gateway::ClientAnswer;
 use heatherhollow_gateway::ClientCode;
@@ -20,41 +21,17 @@
 use heatherhollow_gateway::SessionRoute;
 use heatherhollow_gateway::SessionState;
 use heatherhollow_gateway::Statement;
-use heatherhollow_gateway::StatusFormat;
-use heatherhollow_gateway::StatusReport;
-use heatherhollow_gateway::TargetAnswer;
 use heatherhollow_gateway::TargetCall;
-use heatherhollow_gateway::TargetEntry;
-use heatherhollow_gateway::TargetRole;
-use heatherhollow_gateway::TargetState;
-use heatherhollow_types::GroupPosition;
 use heatherhollow_types::MonoTime;
-use heatherhollow_types::TermNumber;
+
+use desk::RoleFormat;
+use desk::entry;
+use desk::success;
 
 /// Time limit of a statement; it may wait for 0.6 s of it.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
-struct RoleFormat;
-
-impl StatusFormat for RoleFormat {
-    fn decode(&self, row: &str) -> Option<StatusReport> {
-        Some(StatusReport {
-            role: if row == "primary" {
-                TargetRole::Primary
-            } else {
-                TargetRole::Replica
-            },
-            term: TermNumber(1),
-            received: GroupPosition::new(1, 10),
-            paused_for: None,
-            lag: Duration::ZERO,
-            busy_slots: 0,
-            connections: 4,
-        })
-    }
-}
-
-/// One gateway before a primary that works on four statements at a time, each for a set time.
+/// One gateway before a primary that works on each statement for a set time.
 struct BusyPrimary {
     gateway: SessionGateway,
     now: MonoTime,
@@ -213,19 +190,6 @@
     }
 }
 
-fn entry(target: usize) -> TargetEntry {
-    TargetEntry {
-        target: format!("t{target}"),
-        group: "ledger".to_string(),
-        address: format!("127.0.0.1:{target}").parse().unwrap(),
-        data_centre: "dc".parse().unwrap(),
-        slots: 4,
-        state: TargetState::Ready,
-        role: None,
-        born: 1,
-    }
-}
-
 fn catalog() -> Catalog {
     Catalog {
         version: 1,
@@ -247,18 +211,6 @@
     }
 }
 
-fn success(row: &str, signature: &str, state: SessionState) -> TargetAnswer {
-    let rows = if row.is_empty() { None } else { Some(row) };
-    TargetAnswer {
-        rows: rows.into_iter().map(ToString::to_string).collect(),
-        end: AnswerEnd::Complete {
-            signature: signature.to_string(),
-        },
-        state,
-        position: Some(GroupPosition::new(1, 10)),
-    }
-}
-
 /// Five times what the primary can work on in the time that statements may wait: the part that cannot
 /// start in time must not be kept until its time is up, and the rest is served.
 #[test]
