--- a/crates/gateway/examples/event_cost.rs
+++ b/crates/gateway/examples/event_cost.rs
@@ -4,17 +4,17 @@
 //! the time of a tick, of a forwarded statement at the client's instance and of one at its home, and of a
 //! change of another instance's entry. docs/CAPACITY.md has the figures.
 
+#[path = "../tests/desk/mod.rs"]
+mod desk;
+
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-use heatherhollow_gateway::AnswerEnd;
 use heatherhollow_gateway::Catalog;
 use heatherhollow_gateway::ClientId;
 use heatherhollow_gateway::ClientQuery;
-use heatherhollow_gateway::ConnectionId;
 use heatherhollow_gateway::ForwardedQuery;
-use heatherhollow_gateway::GatewayAction;
 use heatherhollow_gateway::GatewayEvent;
 use heatherhollow_gateway::GatewaySettings;
 use heatherhollow_gateway::GroupRule;
@@ -23,19 +23,14 @@
 use heatherhollow_gateway::RouteFreshness;
 use heatherhollow_gateway::SessionGateway;
 use heatherhollow_gateway::SessionRoute;
-use heatherhollow_gateway::SessionState;
 use heatherhollow_gateway::Statement;
-use heatherhollow_gateway::StatusFormat;
-use heatherhollow_gateway::StatusReport;
-use heatherhollow_gateway::TargetAnswer;
-use heatherhollow_gateway::TargetCall;
 use heatherhollow_gateway::TargetEntry;
-use heatherhollow_gateway::TargetRole;
-use heatherhollow_gateway::TargetState;
 use heatherhollow_gateway::TransactionPart;
-use heatherhollow_types::GroupPosition;
 use heatherhollow_types::MonoTime;
-use heatherhollow_types::TermNumber;
+
+use desk::RoleFormat;
+use desk::TargetTable;
+use desk::entry;
 
 /// Groups and instances of each line.
 const SIZES: [(usize, usize); 4] = [(10, 10), (160, 100), (490, 300), (3_300, 2_000)];
@@ -46,31 +41,10 @@
 /// Repetitions that are timed.
 const ROUNDS: u32 = 200;
 
-struct RoleFormat;
-
-impl StatusFormat for RoleFormat {
-    fn decode(&self, row: &str) -> Option<StatusReport> {
-        let role = match row {
-            "primary" => TargetRole::Primary,
-            _ => TargetRole::Replica,
-        };
-        Some(StatusReport {
-            role,
-            term: TermNumber(1),
-            received: GroupPosition::new(1, 10),
-            paused_for: None,
-            lag: Duration::ZERO,
-            busy_slots: 0,
-            connections: 3,
-        })
-    }
-}
-
 struct Bench {
     gateway: SessionGateway,
     now: MonoTime,
-    /// Target of each connection, by its id.
-    targets: Vec<(ConnectionId, u16)>,
+    targets: TargetTable,
 }
 
 impl Bench {
@@ -85,7 +59,7 @@
         let mut bench = Self {
             gateway,
             now: MonoTime::from_millis(60_000),
-            targets: Vec::new(),
+            targets: TargetTable::default(),
         };
         bench.tell(GatewayEvent::CatalogRead(catalog(groups)));
         bench.tell(GatewayEvent::InstancesCounted(instances));
@@ -107,47 +81,11 @@
         let mut events = vec![event];
         while let Some(event) = events.pop() {
             for action in self.gateway.handle(event, self.now) {
-                events.extend(self.perform(action));
+                events.extend(self.targets.respond(&action));
             }
         }
     }
 
-    fn perform(&mut self, action: GatewayAction) -> Option<GatewayEvent> {
-        match action {
-            GatewayAction::OpenTarget {
-                connection,
-                address,
-                ..
-            } => {
-                self.targets.push((connection, address.port()));
-                Some(GatewayEvent::TargetOpened(connection))
-            }
-            GatewayAction::CallTarget { connection, call } => {
-                let found = self
-                    .targets
-                    .binary_search_by_key(&connection, |(id, _)| *id);
-                let port = found.map_or(0, |i| self.targets[i].1);
-                let row = if port == 1 { "primary" } else { "replica" };
-                let state = match call {
-                    TargetCall::Begin { .. } => SessionState::Transaction,
-                    _ => SessionState::Idle,
-                };
-                Some(GatewayEvent::TargetAnswered {
-                    connection,
-                    answer: TargetAnswer {
-                        rows: vec![row.to_string()],
-                        end: AnswerEnd::Complete {
-                            signature: "s".to_string(),
-                        },
-                        state,
-                        position: Some(GroupPosition::new(1, 10)),
-                    },
-                })
-            }
-            _ => None,
-        }
-    }
-
     /// Mean time of an action, in microseconds.
     fn time(&mut self, mut action: impl FnMut(&mut Self, u32)) -> f64 {
         let began_at = Instant::now();
@@ -162,18 +100,11 @@
     format!("g{group}")
 }
 
-fn target(group: usize, i: u16) -> TargetEntry {
+fn target(group: usize, i: usize) -> TargetEntry {
     TargetEntry {
         target: format!("t{group}-{i}"),
         group: name(group),
-        address: format!("127.0.0.1:{}", i + 1)
-            .parse()
-            .expect("a constant address is valid"),
-        data_centre: "d0".parse().expect("a constant name is valid"),
-        slots: 3,
-        state: TargetState::Ready,
-        role: None,
-        born: 1,
+        ..entry(i)
     }
 }
 
--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -34,26 +34,20 @@
     ) -> Option<AnswerProof> {
         let session = self.client(client)?;
         let request = session.request.as_ref()?;
+        let is_synchronous = self.groups[group.0].is_synchronous();
+        if session.is_committing() && is_synchronous {
+            // Also where the target is not known to lead any more: its transaction may outlast that.
+            return Some(AnswerProof::Copy);
+        }
         let open = session.open_transaction();
-        let is_commit = match (request.kind, open) {
-            (RequestKind::Write, None) => true,
-            (RequestKind::Commit, Some(open)) => open.has_written,
-            _ => false,
-        };
         let is_verified = open.is_some_and(|open| open.is_verified);
-        if is_commit && self.groups[group.0].is_synchronous() {
-            // Also where the target is not known to lead any more: its transaction may outlast that.
-            Some(AnswerProof::Copy)
-        } else if !request.is_at_primary {
-            None
-        } else if request.kind == RequestKind::Read {
-            let from = session.evidence_from().unwrap_or(now);
-            (!is_verified).then_some(AnswerProof::Lead(from))
-        } else {
-            // A write without a replica's copy has to be proved after its commit.
-            let is_alone = !self.groups[group.0].is_synchronous() && !is_verified;
-            is_alone.then_some(AnswerProof::Lead(now))
+        let is_read = request.kind == RequestKind::Read;
+        if is_verified || !request.is_at_primary || (is_synchronous && !is_read) {
+            return None;
         }
+        // A write without a replica's copy has to be proved after its commit.
+        let read_from = session.evidence_from().filter(|_| is_read);
+        Some(AnswerProof::Lead(read_from.unwrap_or(now)))
     }
 
     /// Whether the evidence that an answer needs is there.
@@ -110,14 +104,10 @@
         let Some(request) = session.request.as_ref().filter(|r| r.is_at_primary) else {
             return;
         };
-        let is_commit = match (request.kind, session.open_transaction()) {
-            (RequestKind::Write, None) => true,
-            (RequestKind::Commit, Some(open)) => open.has_written,
-            _ => false,
-        };
+        let is_committing = session.is_committing();
         let (group, term) = (request.group, request.term);
         let state = &mut self.groups[group.0];
-        if is_commit && state.is_synchronous() && state.term == term {
+        if is_committing && state.is_synchronous() && state.term == term {
             state.observe_lead(sent_at);
         }
     }
--- a/crates/gateway/src/losses.rs
+++ b/crates/gateway/src/losses.rs
@@ -146,16 +146,11 @@
         let has_written = open.as_ref().is_some_and(|open| open.has_written);
         let is_sent = matches!(
             stage,
-            RequestStage::Sent(_) | RequestStage::Forwarded { .. }
+            RequestStage::Sent(_) | RequestStage::Forwarded { .. } | RequestStage::Held { .. }
         );
         match (stage, open.is_some()) {
             // The connection had already been given back.
             (RequestStage::Queued, _) | (RequestStage::Held { .. }, false) => {}
-            (RequestStage::Held { .. }, true) if kind == RequestKind::Commit && has_written => {
-                let reason = lost_reason(is_late);
-                self.put_in_doubt(client, reason, now);
-            }
-            (RequestStage::Held { .. }, true) => self.abort_transaction(client, now),
             (_, false) if kind == RequestKind::Write && is_sent => {
                 let reason = lost_reason(is_late);
                 self.put_in_doubt(client, reason, now);
@@ -164,6 +159,7 @@
                 let reason = lost_reason(is_late);
                 self.put_in_doubt(client, reason, now);
             }
+            (RequestStage::Held { .. }, true) => self.abort_transaction(client, now),
             (_, _) if has_run || (kind == RequestKind::Commit && is_sent) => {
                 self.abort_transaction(client, now);
             }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -331,6 +331,7 @@
         let Some(session) = self.client_mut(client) else {
             return;
         };
+        let needs_primary = session.needs_primary();
         let Some(request) = session.request.take() else {
             return;
         };
@@ -350,7 +351,6 @@
             .open_transaction()
             .is_some_and(|open| open.has_written);
         let client_code = client_code(&code);
-        let needs_primary = session.is_writing();
         if is_open {
             session.transaction = if is_commit {
                 SessionTransaction::None
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -290,6 +290,16 @@
         is_plain_transaction || self.request.as_ref().is_some_and(is_write)
     }
 
+    /// Whether a success of the present request makes writes permanent.
+    pub fn is_committing(&self) -> bool {
+        let kind = self.request.as_ref().map(|request| request.kind);
+        match (kind, self.open_transaction()) {
+            (Some(RequestKind::Write), None) => true,
+            (Some(RequestKind::Commit), Some(open)) => open.has_written,
+            _ => false,
+        }
+    }
+
     /// Whether the present request belongs at the primary as long as there is one.
     pub fn needs_primary(&self) -> bool {
         let needs_present_state = self
--- a/crates/gateway/tests/statements.rs
+++ b/crates/gateway/tests/statements.rs
@@ -31,6 +31,7 @@
 use heatherhollow_types::MonoTime;
 
 use desk::RoleFormat;
+use desk::TargetTable;
 use desk::entry;
 use desk::success;
 
@@ -41,8 +42,7 @@
 struct Desk {
     gateway: SessionGateway,
     now: MonoTime,
-    /// Target of each connection.
-    targets: Vec<(ConnectionId, usize)>,
+    targets: TargetTable,
     waiting: Vec<WaitingCall>,
     answers: Vec<ClientAnswer>,
     setup: Vec<TargetCall>,
@@ -62,7 +62,7 @@
         let mut desk = Self {
             gateway,
             now: MonoTime::from_millis(10_000),
-            targets: Vec::new(),
+            targets: TargetTable::default(),
             waiting: Vec::new(),
             answers: Vec::new(),
             setup: Vec::new(),
@@ -103,40 +103,27 @@
     /// Everything but statements of clients is answered at once.
     fn perform(&mut self, action: GatewayAction) -> Option<GatewayEvent> {
         match action {
-            GatewayAction::OpenTarget {
+            GatewayAction::CallTarget {
                 connection,
-                address,
-                ..
+                call: call @ (TargetCall::Forward { .. } | TargetCall::Execute { .. }),
             } => {
-                self.targets.push((connection, usize::from(address.port())));
-                Some(GatewayEvent::TargetOpened(connection))
-            }
-            GatewayAction::CallTarget { connection, call } => {
-                let found = self.targets.iter().find(|(id, _)| *id == connection);
-                let target = found.unwrap().1;
-                let (rows, state) = match &call {
-                    TargetCall::Status if target == 0 => ("primary", SessionState::Idle),
-                    TargetCall::Status => ("replica", SessionState::Idle),
-                    TargetCall::Begin { .. } => ("", SessionState::Transaction),
-                    TargetCall::Forward { .. } | TargetCall::Execute { .. } => {
-                        self.waiting.push((connection, target, call));
-                        return None;
-                    }
-                    _ => ("", SessionState::Idle),
-                };
-                if !matches!(call, TargetCall::Status | TargetCall::Start { .. }) {
-                    self.setup.push(call);
-                }
-                Some(GatewayEvent::TargetAnswered {
-                    connection,
-                    answer: success(rows, "-", state),
-                })
+                let target = self.targets.target(connection);
+                self.waiting.push((connection, target, call));
+                None
             }
             GatewayAction::AnswerClient { answer, .. } => {
                 self.answers.push(answer);
                 None
             }
-            _ => None,
+            action => {
+                let event = self.targets.respond(&action);
+                if let GatewayAction::CallTarget { call, .. } = action
+                    && !matches!(call, TargetCall::Status | TargetCall::Start { .. })
+                {
+                    self.setup.push(call);
+                }
+                event
+            }
         }
     }
 
--- /dev/null
+++ b/crates/gateway/tests/support/links.rs
@@ -0,0 +1,88 @@
+//! Links between instances: forwarded statements and their answers.
+
+use std::time::Duration;
+
+use heatherhollow_gateway::ClientAnswer;
+use heatherhollow_gateway::ClientId;
+use heatherhollow_gateway::GatewayEvent;
+use heatherhollow_gateway::HomeMessage;
+
+use super::World;
+
+/// Clients from here on stand for forwarded sessions.
+pub const SHADOW_BASE: u64 = 1_000;
+
+/// Distance between the clients that stand for the same session on successive links.
+pub const SHADOW_LINK: u64 = 1_000_000;
+
+impl World {
+    /// Delivers a message to a home; the link breaks if it is cut or the home is frozen for long.
+    pub(super) fn send_home(
+        &mut self,
+        instance: usize,
+        home: &str,
+        client: ClientId,
+        message: HomeMessage,
+    ) {
+        let to = home
+            .trim_start_matches("instance-")
+            .parse::<usize>()
+            .unwrap();
+        let is_frozen = self.frozen_until[to].since(self.now) > Duration::from_millis(900);
+        let link = (instance, to);
+        if self.is_cut(instance, to) || is_frozen {
+            let lost = GatewayEvent::HomeLost {
+                home: home.to_string(),
+                was_open: true,
+            };
+            self.tell(instance, lost, 900);
+            // The link ends: nothing more comes over it, and the home ends its sessions.
+            let number = self.link_numbers.entry(link).or_insert(0);
+            let ended = *number;
+            *number += 1;
+            let shadows = self
+                .serials
+                .keys()
+                .filter(|(known, number, _)| *known == link && *number == ended)
+                .map(|(_, _, shadow)| *shadow)
+                .collect::<Vec<_>>();
+            for shadow in shadows {
+                self.tell(to, GatewayEvent::ClientClosed(shadow), 1_000);
+            }
+            return;
+        }
+        let number = self.link_numbers.get(&link).copied().unwrap_or(0);
+        let base = SHADOW_BASE * (instance as u64 + 1);
+        let shadow = ClientId(base + client.0 + number * SHADOW_LINK);
+        if let HomeMessage::Query(_) = &message {
+            self.serials.entry((link, number, shadow)).or_insert(0);
+        }
+        let event = match message {
+            HomeMessage::Query(query) => GatewayEvent::Forwarded {
+                client: shadow,
+                query,
+            },
+            HomeMessage::Rollback => GatewayEvent::ForwardedRollback(shadow),
+            HomeMessage::End => GatewayEvent::ClientClosed(shadow),
+        };
+        self.tell(to, event, 1);
+    }
+
+    pub(super) fn answer_forwarded(&mut self, home: usize, shadow: ClientId, answer: ClientAnswer) {
+        let instance = ((shadow.0 % SHADOW_LINK) / SHADOW_BASE) as usize - 1;
+        let link = (instance, home);
+        let number = shadow.0 / SHADOW_LINK;
+        let present = self.link_numbers.get(&link).copied().unwrap_or(0);
+        let serial = self.serials.get(&(link, number, shadow)).copied();
+        let Some(serial) = serial.filter(|_| number == present && !self.is_cut(instance, home))
+        else {
+            return;
+        };
+        let event = GatewayEvent::HomeAnswered {
+            client: ClientId(shadow.0 % SHADOW_BASE),
+            serial,
+            answer,
+        };
+        self.tell(instance, event, 1);
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/support/listing.rs
@@ -0,0 +1,114 @@
+//! What the store lists, and how targets report themselves.
+
+use std::time::Duration;
+
+use heatherhollow_gateway::Catalog;
+use heatherhollow_gateway::GatewayEvent;
+use heatherhollow_gateway::GroupRule;
+use heatherhollow_gateway::PeerEntry;
+use heatherhollow_gateway::RouteFreshness;
+use heatherhollow_gateway::SessionRoute;
+use heatherhollow_gateway::StatusFormat;
+use heatherhollow_gateway::StatusReport;
+use heatherhollow_gateway::TargetEntry;
+use heatherhollow_gateway::TargetRole;
+use heatherhollow_gateway::TargetState;
+use heatherhollow_types::GroupPosition;
+use heatherhollow_types::TermNumber;
+
+use super::BOUNDED_ROUTE;
+use super::GROUP;
+use super::MAX_AGE;
+use super::OWN_ROUTE;
+use super::PRIMARY_ROUTE;
+use super::World;
+
+pub fn peer(instance: usize) -> PeerEntry {
+    PeerEntry {
+        instance: format!("instance-{instance}"),
+        address: format!("127.0.0.1:{}", 8_000 + instance).parse().unwrap(),
+        data_centre: "dc".parse().unwrap(),
+        capacity: 250,
+    }
+}
+
+pub struct RowFormat;
+
+impl StatusFormat for RowFormat {
+    fn decode(&self, row: &str) -> Option<StatusReport> {
+        let fields = row.split(' ').collect::<Vec<_>>();
+        let (term, number) = fields[2].split_once('.')?;
+        let held = fields[3].parse::<u64>().ok()?;
+        Some(StatusReport {
+            role: match fields[0] {
+                "primary" => TargetRole::Primary,
+                _ => TargetRole::Replica,
+            },
+            term: TermNumber(fields[1].parse().ok()?),
+            received: GroupPosition::new(term.parse().ok()?, number.parse().ok()?),
+            paused_for: (held > 0).then_some(TermNumber(held)),
+            lag: Duration::from_millis(fields[4].parse().ok()?),
+            busy_slots: 0,
+            connections: fields[6].parse().ok()?,
+        })
+    }
+}
+
+impl World {
+    pub(super) fn entry(&self, target: usize) -> TargetEntry {
+        let state = &self.targets[target];
+        TargetEntry {
+            target: state.name.clone(),
+            group: GROUP.to_string(),
+            address: format!("127.0.0.1:{}", 9_000 + target).parse().unwrap(),
+            data_centre: "dc".parse().unwrap(),
+            slots: 3,
+            state: TargetState::Ready,
+            role: Some(if state.is_primary {
+                TargetRole::Primary
+            } else {
+                TargetRole::Replica
+            }),
+            born: 1,
+        }
+    }
+
+    pub(super) fn list_targets(&mut self) {
+        for instance in 0..self.options.instances {
+            for target in 0..3 {
+                if self.targets[target].is_alive && !self.is_unlisted[target] {
+                    let event = GatewayEvent::TargetListed(self.entry(target));
+                    self.tell(instance, event, 15);
+                }
+            }
+        }
+    }
+}
+
+pub fn catalog(max_connections: u32) -> Catalog {
+    let route = |database: &str, freshness| SessionRoute {
+        database: database.to_string(),
+        group: GROUP.to_string(),
+        freshness,
+        timeout: Duration::from_millis(1_000),
+        objective: Duration::from_millis(500),
+        priority: 1,
+    };
+    Catalog {
+        version: 1,
+        routes: vec![
+            route(BOUNDED_ROUTE, RouteFreshness::Bounded { max_age: MAX_AGE }),
+            route(
+                OWN_ROUTE,
+                RouteFreshness::ReadYourWrites { max_age: MAX_AGE },
+            ),
+            route(PRIMARY_ROUTE, RouteFreshness::Primary),
+        ],
+        groups: vec![GroupRule {
+            group: GROUP.to_string(),
+            max_connections,
+            sync_replicas: 1,
+        }],
+        idle_transaction: Some(Duration::from_secs(3)),
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -3,7 +3,10 @@
 
 #![allow(dead_code)]
 
+mod duty;
 mod faults;
+mod links;
+mod listing;
 mod playing;
 mod serving;
 pub mod target;
@@ -18,36 +21,24 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use heatherhollow_gateway::Catalog;
-use heatherhollow_gateway::ClientAnswer;
 use heatherhollow_gateway::ClientId;
 use heatherhollow_gateway::ConnectError;
 use heatherhollow_gateway::ConnectionId;
-use heatherhollow_gateway::DutyRefusal;
-use heatherhollow_gateway::DutyToken;
 use heatherhollow_gateway::GatewayAction;
 use heatherhollow_gateway::GatewayEvent;
 use heatherhollow_gateway::GatewaySettings;
-use heatherhollow_gateway::GroupRule;
-use heatherhollow_gateway::HomeMessage;
 use heatherhollow_gateway::InstanceIdentity;
-use heatherhollow_gateway::OrderReply;
-use heatherhollow_gateway::PeerEntry;
 use heatherhollow_gateway::PreparedShape;
-use heatherhollow_gateway::RouteFreshness;
 use heatherhollow_gateway::SessionGateway;
-use heatherhollow_gateway::SessionRoute;
 use heatherhollow_gateway::Statement;
-use heatherhollow_gateway::StatusFormat;
-use heatherhollow_gateway::StatusReport;
 use heatherhollow_gateway::TargetCall;
-use heatherhollow_gateway::TargetEntry;
-use heatherhollow_gateway::TargetRole;
-use heatherhollow_gateway::TargetState;
-use heatherhollow_types::GroupPosition;
 use heatherhollow_types::MonoTime;
-use heatherhollow_types::TermNumber;
 
+use links::SHADOW_BASE;
+use links::SHADOW_LINK;
+use listing::RowFormat;
+use listing::catalog;
+use listing::peer;
 use target::LogRecord;
 use target::SimTarget;
 
@@ -175,43 +166,6 @@
     last_ack: MonoTime,
 }
 
-/// Clients from here on stand for forwarded sessions.
-const SHADOW_BASE: u64 = 1_000;
-
-/// Distance between the clients that stand for the same session on successive links.
-const SHADOW_LINK: u64 = 1_000_000;
-
-fn peer(instance: usize) -> PeerEntry {
-    PeerEntry {
-        instance: format!("instance-{instance}"),
-        address: format!("127.0.0.1:{}", 8_000 + instance).parse().unwrap(),
-        data_centre: "dc".parse().unwrap(),
-        capacity: 250,
-    }
-}
-
-struct RowFormat;
-
-impl StatusFormat for RowFormat {
-    fn decode(&self, row: &str) -> Option<StatusReport> {
-        let fields = row.split(' ').collect::<Vec<_>>();
-        let (term, number) = fields[2].split_once('.')?;
-        let held = fields[3].parse::<u64>().ok()?;
-        Some(StatusReport {
-            role: match fields[0] {
-                "primary" => TargetRole::Primary,
-                _ => TargetRole::Replica,
-            },
-            term: TermNumber(fields[1].parse().ok()?),
-            received: GroupPosition::new(term.parse().ok()?, number.parse().ok()?),
-            paused_for: (held > 0).then_some(TermNumber(held)),
-            lag: Duration::from_millis(fields[4].parse().ok()?),
-            busy_slots: 0,
-            connections: fields[6].parse().ok()?,
-        })
-    }
-}
-
 impl World {
     pub fn new(seed: u64, options: WorldOptions) -> Self {
         let targets = vec![
@@ -285,24 +239,6 @@
         world
     }
 
-    fn entry(&self, target: usize) -> TargetEntry {
-        let state = &self.targets[target];
-        TargetEntry {
-            target: state.name.clone(),
-            group: GROUP.to_string(),
-            address: format!("127.0.0.1:{}", 9_000 + target).parse().unwrap(),
-            data_centre: "dc".parse().unwrap(),
-            slots: 3,
-            state: TargetState::Ready,
-            role: Some(if state.is_primary {
-                TargetRole::Primary
-            } else {
-                TargetRole::Replica
-            }),
-            born: 1,
-        }
-    }
-
     fn schedule(&mut self, millis: u64, happening: Happening) {
         let at = self.now + Duration::from_millis(millis);
         self.order += 1;
@@ -487,164 +423,11 @@
                         .retain(|c| !(c.instance == instance && c.id == connection));
                 }
             }
-            GatewayAction::AcquireDuty => {
-                let is_free = self.options.shares_duty
-                    || self.duty.is_none_or(|(_, _, until)| self.now >= until);
-                let token = is_free.then(|| {
-                    let number = if self.options.shares_duty {
-                        1
-                    } else {
-                        self.next_token
-                    };
-                    self.next_token += 1;
-                    let until = self.now + Duration::from_millis(2_500);
-                    self.duty = Some((instance, number, until));
-                    DutyToken {
-                        number,
-                        valid_until: self.now + Duration::from_millis(2_300),
-                    }
-                });
-                let answer = token.ok_or(DutyRefusal::Taken);
-                self.tell(instance, GatewayEvent::DutyAnswered(answer), 12);
-            }
-            GatewayAction::ReleaseDuty => {
-                if self.duty.is_some_and(|(holder, _, _)| holder == instance) {
-                    self.duty = None;
-                }
-            }
+            GatewayAction::AcquireDuty => self.acquire_duty(instance),
+            GatewayAction::ReleaseDuty => self.release_duty(instance),
             GatewayAction::OrderPromotion { target, token, .. } => {
                 self.order(instance, &target, token);
             }
         }
     }
-
-    /// Delivers a message to a home; the link breaks if it is cut or the home is frozen for long.
-    fn send_home(&mut self, instance: usize, home: &str, client: ClientId, message: HomeMessage) {
-        let to = home
-            .trim_start_matches("instance-")
-            .parse::<usize>()
-            .unwrap();
-        let is_frozen = self.frozen_until[to].since(self.now) > Duration::from_millis(900);
-        let link = (instance, to);
-        if self.is_cut(instance, to) || is_frozen {
-            let lost = GatewayEvent::HomeLost {
-                home: home.to_string(),
-                was_open: true,
-            };
-            self.tell(instance, lost, 900);
-            // The link ends: nothing more comes over it, and the home ends its sessions.
-            let number = self.link_numbers.entry(link).or_insert(0);
-            let ended = *number;
-            *number += 1;
-            let shadows = self
-                .serials
-                .keys()
-                .filter(|(known, number, _)| *known == link && *number == ended)
-                .map(|(_, _, shadow)| *shadow)
-                .collect::<Vec<_>>();
-            for shadow in shadows {
-                self.tell(to, GatewayEvent::ClientClosed(shadow), 1_000);
-            }
-            return;
-        }
-        let number = self.link_numbers.get(&link).copied().unwrap_or(0);
-        let base = SHADOW_BASE * (instance as u64 + 1);
-        let shadow = ClientId(base + client.0 + number * SHADOW_LINK);
-        if let HomeMessage::Query(_) = &message {
-            self.serials.entry((link, number, shadow)).or_insert(0);
-        }
-        let event = match message {
-            HomeMessage::Query(query) => GatewayEvent::Forwarded {
-                client: shadow,
-                query,
-            },
-            HomeMessage::Rollback => GatewayEvent::ForwardedRollback(shadow),
-            HomeMessage::End => GatewayEvent::ClientClosed(shadow),
-        };
-        self.tell(to, event, 1);
-    }
-
-    fn answer_forwarded(&mut self, home: usize, shadow: ClientId, answer: ClientAnswer) {
-        let instance = ((shadow.0 % SHADOW_LINK) / SHADOW_BASE) as usize - 1;
-        let link = (instance, home);
-        let number = shadow.0 / SHADOW_LINK;
-        let present = self.link_numbers.get(&link).copied().unwrap_or(0);
-        let serial = self.serials.get(&(link, number, shadow)).copied();
-        let Some(serial) = serial.filter(|_| number == present && !self.is_cut(instance, home))
-        else {
-            return;
-        };
-        let event = GatewayEvent::HomeAnswered {
-            client: ClientId(shadow.0 % SHADOW_BASE),
-            serial,
-            answer,
-        };
-        self.tell(instance, event, 1);
-    }
-
-    fn order(&mut self, instance: usize, target: &str, token: DutyToken) {
-        if self.now >= token.valid_until {
-            self.violations
-                .push("an order under a lapsed duty".to_string());
-        }
-        let is_repeated = self.options.shares_duty && self.promotions > 0;
-        if token.number < self.last_token || is_repeated {
-            self.violations.push(format!(
-                "token {} was used after a later holder",
-                token.number
-            ));
-        }
-        self.last_token = self.last_token.max(token.number);
-        let i = self.targets.iter().position(|t| t.name == target).unwrap();
-        let reply = if self.targets[i].is_alive {
-            self.schedule(300, Happening::Promoted(i));
-            OrderReply::Accepted
-        } else {
-            OrderReply::Rejected
-        };
-        let event = GatewayEvent::PromotionOrdered {
-            group: GROUP.to_string(),
-            reply,
-        };
-        self.tell(instance, event, 4);
-    }
-
-    fn list_targets(&mut self) {
-        for instance in 0..self.options.instances {
-            for target in 0..3 {
-                if self.targets[target].is_alive && !self.is_unlisted[target] {
-                    let event = GatewayEvent::TargetListed(self.entry(target));
-                    self.tell(instance, event, 15);
-                }
-            }
-        }
-    }
-}
-
-fn catalog(max_connections: u32) -> Catalog {
-    let route = |database: &str, freshness| SessionRoute {
-        database: database.to_string(),
-        group: GROUP.to_string(),
-        freshness,
-        timeout: Duration::from_millis(1_000),
-        objective: Duration::from_millis(500),
-        priority: 1,
-    };
-    Catalog {
-        version: 1,
-        routes: vec![
-            route(BOUNDED_ROUTE, RouteFreshness::Bounded { max_age: MAX_AGE }),
-            route(
-                OWN_ROUTE,
-                RouteFreshness::ReadYourWrites { max_age: MAX_AGE },
-            ),
-            route(PRIMARY_ROUTE, RouteFreshness::Primary),
-        ],
-        groups: vec![GroupRule {
-            group: GROUP.to_string(),
-            max_connections,
-            sync_replicas: 1,
-        }],
-        idle_transaction: Some(Duration::from_secs(3)),
-    }
 }
--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -25,6 +25,7 @@
 use heatherhollow_types::MonoTime;
 
 use desk::RoleFormat;
+use desk::TargetTable;
 use desk::entry;
 use desk::success;
 
@@ -36,8 +37,7 @@
     gateway: SessionGateway,
     now: MonoTime,
     work: Duration,
-    /// Target of each connection.
-    targets: Vec<(ConnectionId, usize)>,
+    targets: TargetTable,
     running: Vec<(MonoTime, ConnectionId)>,
     answers: Vec<(MonoTime, ClientAnswer)>,
     clients: u64,
@@ -58,7 +58,7 @@
             gateway: SessionGateway::new(settings, identity, format, Box::new(())),
             now: MonoTime::from_millis(10_000),
             work,
-            targets: Vec::new(),
+            targets: TargetTable::default(),
             running: Vec::new(),
             answers: Vec::new(),
             clients: 0,
@@ -99,39 +99,28 @@
     }
 
     fn perform(&mut self, action: GatewayAction) -> Option<GatewayEvent> {
-        match action {
-            GatewayAction::OpenTarget {
-                connection,
-                address,
-                ..
-            } => {
-                self.targets.push((connection, usize::from(address.port())));
-                if self.is_failed && address.port() == 0 {
-                    return None;
-                }
-                Some(GatewayEvent::TargetOpened(connection))
-            }
-            GatewayAction::CallTarget { connection, call } => {
-                let found = self.targets.iter().find(|(id, _)| *id == connection);
-                let row = match (&call, found.unwrap().1) {
-                    (_, 0) if self.is_failed => return None,
-                    (TargetCall::Status, 0) => "primary",
-                    (TargetCall::Status, _) => "replica",
-                    (TargetCall::Forward { .. }, _) => {
-                        self.running.push((self.now + self.work, connection));
-                        return None;
-                    }
-                    _ => "",
-                };
-                let answer = success(row, "-", SessionState::Idle);
-                Some(GatewayEvent::TargetAnswered { connection, answer })
-            }
-            GatewayAction::AnswerClient { answer, .. } if self.clients > 0 => {
+        if let GatewayAction::AnswerClient { answer, .. } = action {
+            // Those to the sessions of the start are not looked at.
+            if self.clients > 0 {
                 self.answers.push((self.now, answer));
-                None
             }
-            _ => None,
+            return None;
+        }
+        let is_statement = |call: &TargetCall| matches!(call, TargetCall::Forward { .. });
+        let event = self.targets.respond(&action);
+        let (connection, is_running) = match action {
+            GatewayAction::OpenTarget { connection, .. } => (connection, false),
+            GatewayAction::CallTarget { connection, call } => (connection, is_statement(&call)),
+            _ => return event,
+        };
+        if self.is_failed && self.targets.target(connection) == 0 {
+            return None;
+        }
+        if is_running {
+            self.running.push((self.now + self.work, connection));
+            return None;
         }
+        event
     }
 
     /// The primary answers nothing any more, and no store grants the duty of replacing it.
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -1,14 +1,10 @@
-//! Runs properties with a printed seed.
+//! Sizes of properties, and targets as the router sees them.
 #![allow(dead_code)] // each test program uses a part
 
 pub mod group;
 
-use std::hash::BuildHasher;
-use std::hash::RandomState;
 use std::time::Duration;
 
-use quickcheck::Gen;
-use quickcheck::QuickCheck;
 use quickcheck::Testable;
 
 use heatherhollow_routing::TargetView;
@@ -23,38 +19,17 @@
     Duration::from_millis(millis)
 }
 
-fn setting(name: &str) -> Option<u64> {
-    std::env::var(name).ok()?.parse().ok()
-}
-
-fn runner(cases: u64) -> (u64, QuickCheck) {
-    let seed = setting("HEATHERHOLLOW_TEST_SEED").unwrap_or_else(|| RandomState::new().hash_one(0));
-    let random = Gen::from_size_and_seed(400, seed);
-    (
-        seed,
-        QuickCheck::new()
-            .rng(random)
-            .tests(cases)
-            .max_tests(cases * 10),
-    )
-}
+/// Size of the generated cases.
+const SIZE: usize = 400;
 
 /// Panics with the seed if the property does not hold.
 pub fn assert_holds(property: impl Testable) {
-    let (seed, mut runner) = runner(setting("HEATHERHOLLOW_TEST_CASES").unwrap_or(300));
-    if let Err(result) = runner.quicktest(property) {
-        panic!("HEATHERHOLLOW_TEST_SEED={seed}: {result:?}");
-    }
+    heatherhollow_properties::assert_holds(SIZE, property);
 }
 
 /// Panics if the property holds for a variant that is broken.
 pub fn assert_caught(property: impl Testable) {
-    let (seed, mut runner) = runner(3_000);
-    let result = runner.quicktest(property);
-    assert!(
-        result.is_err(),
-        "HEATHERHOLLOW_TEST_SEED={seed}: not caught"
-    );
+    heatherhollow_properties::assert_caught(SIZE, property);
 }
 
 /// An idle target next to the caller; the first one is the primary.
--- a/crates/runner/src/mirror.rs
+++ b/crates/runner/src/mirror.rs
@@ -31,10 +31,21 @@
 #[derive(Default)]
 pub struct StoreMirror(Mutex<MirrorState>);
 
+/// Part of an instance in the spreading of entries.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum MirrorRole {
+    /// Not known yet; followers wait.
+    #[default]
+    Starting,
+    /// It reads the store for others.
+    Reader,
+    /// It serves nobody.
+    Follower,
+}
+
 #[derive(Default)]
 struct MirrorState {
-    /// Whether this instance reads the store for others; none while it starts.
-    is_reader: Option<bool>,
+    role: MirrorRole,
     /// Whether the store answered the last watch.
     is_watched: bool,
     /// Whether the store answered the last renewal of the reader's place.
@@ -58,7 +69,10 @@
         }
         let ahead = std::mem::take(&mut state.ahead);
         *state = MirrorState {
-            is_reader: Some(is_reader),
+            role: match is_reader {
+                true => MirrorRole::Reader,
+                false => MirrorRole::Follower,
+            },
             is_confirmed: is_reader,
             ahead,
             ..MirrorState::default()
@@ -68,7 +82,7 @@
     /// Adds a follower that knows the entries up to a revision.
     pub fn follow(&self, known: u64, follower: UnboundedSender<FrameBody>) {
         let mut state = self.lock();
-        let is_detached = state.is_reader == Some(false);
+        let is_detached = state.role == MirrorRole::Follower;
         if is_detached || (state.revision.is_some() && !state.is_current()) {
             // The link has ended if nobody receives.
             let _is_received = follower.send(FrameBody::Detached(true)).is_ok();
@@ -81,7 +95,7 @@
     /// Takes the whole list of entries.
     pub fn replace(&self, entries: &[StoreEntry], revision: StoreRevision) {
         let mut state = self.lock();
-        if state.is_reader != Some(true) {
+        if state.role != MirrorRole::Reader {
             return;
         }
         state.entries = entries.iter().map(entry_frame).collect();
@@ -98,7 +112,7 @@
     /// Takes changes up to a revision.
     pub fn apply(&self, changes: &[StoreChange], revision: StoreRevision) {
         let mut state = self.lock();
-        if state.is_reader != Some(true) || state.revision.is_none() {
+        if state.role != MirrorRole::Reader || state.revision.is_none() {
             return;
         }
         let frames = changes.iter().map(change_frame).collect::<Vec<_>>();
--- a/crates/runner/src/readers.rs
+++ b/crates/runner/src/readers.rs
@@ -53,6 +53,14 @@
     Follows(Vec<SocketAddr>),
 }
 
+/// What became of an attempt to take a place.
+enum TakeReply {
+    /// It is held under this lease.
+    Taken(LeaseId),
+    /// Another instance was faster; none if its entry cannot be read.
+    Lost(Option<SocketAddr>),
+}
+
 /// A place that this instance holds until it is dropped.
 pub struct ReaderPlace {
     is_held: Arc<AtomicBool>,
@@ -122,17 +130,16 @@
         free.shuffle(&mut rand::rng());
         others.shuffle(&mut rand::rng());
         if let Some((path, expected)) = own {
-            // The place is taken beside the first reading: each call takes long where the store is slow.
-            let place = self.retake(path.clone(), expected);
-            return Ok(ReaderChoice::Reads(place, holders_before(&others, &path)));
+            let earlier = holders_before(&others, &path);
+            return Ok(ReaderChoice::Reads(self.retake(path, expected), earlier));
         }
         if let Some((path, expected)) = free.pop() {
             match self.take(&path, expected).await? {
-                Ok(lease) => {
-                    let place = self.hold(lease);
+                TakeReply::Taken(lease) => {
+                    let place = self.hold(std::future::ready(Some(lease)));
                     return Ok(ReaderChoice::Reads(place, holders_before(&others, &path)));
                 }
-                Err(holder) => others.extend(holder.map(|holder| (path, holder))),
+                TakeReply::Lost(holder) => others.extend(holder.map(|holder| (path, holder))),
             }
         }
         let others = others.into_iter().map(|(_, address)| address);
@@ -171,12 +178,11 @@
         Some((path.to_string(), value.address))
     }
 
-    /// Takes a place; the address of its holder if another instance was faster.
     async fn take(
         &self,
         path: &str,
         expected: Option<StoreRevision>,
-    ) -> Result<Result<LeaseId, Option<SocketAddr>>, StoreError> {
+    ) -> Result<TakeReply, StoreError> {
         let value = serde_json::to_vec(&self.own)
             .map_err(|error| StoreError::Rejected(error.to_string()))?;
         let lease = self.store.grant_lease(self.lease).await?;
@@ -186,51 +192,44 @@
             .await?;
         if let SwapReply::Conflict(holder) = swapped {
             let holder = holder.and_then(|entry| decode(&entry.path, &entry.value));
-            return Ok(Err(holder.map(|holder| holder.address)));
+            return Ok(TakeReply::Lost(holder.map(|holder| holder.address)));
         }
         info!("reader_place_taken path={path}");
-        Ok(Ok(lease))
+        Ok(TakeReply::Taken(lease))
     }
 
-    /// Holds a place under its lease.
-    fn hold(&self, lease: LeaseId) -> ReaderPlace {
-        let keeper = self.keeper(lease);
-        let is_held = keeper.is_held.clone();
-        let renewal = tokio::spawn(keeper.run(self.is_leaving.clone()));
-        ReaderPlace { is_held, renewal }
-    }
-
-    /// Holds the place of this instance's former run, and takes it meanwhile.
+    /// Takes the place of this instance's former run while it is already used: each call takes long where
+    /// the store is slow.
     fn retake(&self, path: String, expected: Option<StoreRevision>) -> ReaderPlace {
         let places = self.clone();
-        let is_held = Arc::new(AtomicBool::new(true));
-        let held = is_held.clone();
-        let renewal = tokio::spawn(async move {
+        self.hold(async move {
             match places.take(&path, expected).await {
-                Ok(Ok(lease)) => {
-                    let keeper = PlaceKeeper {
-                        is_held: held,
-                        ..places.keeper(lease)
-                    };
-                    keeper.run(places.is_leaving.clone()).await;
-                }
-                Ok(Err(_)) => held.store(false, Ordering::Relaxed),
+                Ok(TakeReply::Taken(lease)) => Some(lease),
+                Ok(TakeReply::Lost(_)) => None,
                 Err(error) => {
                     info!("reader_place_not_taken error={:?}", error.to_string());
-                    held.store(false, Ordering::Relaxed);
+                    None
                 }
             }
-        });
-        ReaderPlace { is_held, renewal }
+        })
     }
 
-    fn keeper(&self, lease: LeaseId) -> PlaceKeeper {
-        PlaceKeeper {
-            store: self.store.clone(),
-            lease,
-            is_held: Arc::new(AtomicBool::new(true)),
-            mirror: self.mirror.clone(),
-        }
+    /// Holds a place under the lease that `taking` ends with; without one it is not held any more.
+    fn hold(&self, taking: impl Future<Output = Option<LeaseId>> + Send + 'static) -> ReaderPlace {
+        let is_held = Arc::new(AtomicBool::new(true));
+        let held = is_held.clone();
+        let store = self.store.clone();
+        let mirror = self.mirror.clone();
+        let is_leaving = self.is_leaving.clone();
+        let renewal = tokio::spawn(async move {
+            let has_left = match taking.await {
+                Some(lease) => renew_place(&*store, lease, &mirror, is_leaving).await,
+                None => false,
+            };
+            // An instance that leaves goes on with what it does until it ends.
+            held.store(has_left, Ordering::Relaxed);
+        });
+        ReaderPlace { is_held, renewal }
     }
 }
 
@@ -251,41 +250,36 @@
     }
 }
 
-/// Renews the lease of a place.
-struct PlaceKeeper {
-    store: Arc<dyn StorePort>,
+/// Renews the lease of a place until it ends, or gives it up when the instance leaves.
+///
+/// A renewal costs a tenth of other calls, so it also shows followers that the store answers. Tells
+/// whether the instance left.
+async fn renew_place(
+    store: &dyn StorePort,
     lease: LeaseId,
-    is_held: Arc<AtomicBool>,
-    mirror: Arc<StoreMirror>,
-}
-
-impl PlaceKeeper {
-    /// Renews the lease until it ends, or gives it up when the instance leaves.
-    ///
-    /// A renewal costs a tenth of other calls, so it also shows followers that the store answers.
-    async fn run(self, mut is_leaving: watch::Receiver<bool>) {
-        loop {
-            tokio::select! {
-                has_left = has_left(&mut is_leaving) => {
-                    if has_left && let Err(error) = self.store.end_lease(self.lease).await {
-                        // It ends by itself after its span.
-                        info!("reader_lease_not_ended error={:?}", error.to_string());
-                    }
-                    return;
+    mirror: &StoreMirror,
+    mut is_leaving: watch::Receiver<bool>,
+) -> bool {
+    loop {
+        tokio::select! {
+            has_left = has_left(&mut is_leaving) => {
+                if has_left && let Err(error) = store.end_lease(lease).await {
+                    // It ends by itself after its span.
+                    info!("reader_lease_not_ended error={:?}", error.to_string());
                 }
-                () = sleep(CONFIRM_INTERVAL) => {}
+                return has_left;
             }
-            match self.store.renew_lease(self.lease).await {
-                Ok(()) => self.mirror.confirm(),
-                Err(StoreError::LeaseEnded) => {
-                    info!("reader_place_ended");
-                    self.is_held.store(false, Ordering::Relaxed);
-                    return;
-                }
-                Err(error) => {
-                    info!("reader_lease_not_renewed error={:?}", error.to_string());
-                    self.mirror.lose_confirmation();
-                }
+            () = sleep(CONFIRM_INTERVAL) => {}
+        }
+        match store.renew_lease(lease).await {
+            Ok(()) => mirror.confirm(),
+            Err(StoreError::LeaseEnded) => {
+                info!("reader_place_ended");
+                return false;
+            }
+            Err(error) => {
+                info!("reader_lease_not_renewed error={:?}", error.to_string());
+                mirror.lose_confirmation();
             }
         }
     }
--- a/crates/session/tests/support/mod.rs
+++ b/crates/session/tests/support/mod.rs
@@ -1,11 +1,6 @@
-//! Runs properties with a printed seed, and builds tokens from random operations.
+//! Sizes of properties, and builds tokens from random operations.
 #![allow(dead_code)] // each test program uses a part
 
-use std::hash::BuildHasher;
-use std::hash::RandomState;
-
-use quickcheck::Gen;
-use quickcheck::QuickCheck;
 use quickcheck::Testable;
 
 use heatherhollow_session::SessionToken;
@@ -20,38 +15,17 @@
 
 pub const SECRET: &[u8] = b"secret of at least 16 bytes";
 
-fn setting(name: &str) -> Option<u64> {
-    std::env::var(name).ok()?.parse().ok()
-}
-
-fn runner(cases: u64) -> (u64, QuickCheck) {
-    let seed = setting("HEATHERHOLLOW_TEST_SEED").unwrap_or_else(|| RandomState::new().hash_one(0));
-    let random = Gen::from_size_and_seed(100, seed);
-    (
-        seed,
-        QuickCheck::new()
-            .rng(random)
-            .tests(cases)
-            .max_tests(cases * 10),
-    )
-}
+/// Size of the generated cases.
+const SIZE: usize = 100;
 
 /// Panics with the seed if the property does not hold.
 pub fn assert_holds(property: impl Testable) {
-    let (seed, mut runner) = runner(setting("HEATHERHOLLOW_TEST_CASES").unwrap_or(300));
-    if let Err(result) = runner.quicktest(property) {
-        panic!("HEATHERHOLLOW_TEST_SEED={seed}: {result:?}");
-    }
+    heatherhollow_properties::assert_holds(SIZE, property);
 }
 
 /// Panics if the property holds for a variant that is broken.
 pub fn assert_caught(property: impl Testable) {
-    let (seed, mut runner) = runner(3_000);
-    let result = runner.quicktest(property);
-    assert!(
-        result.is_err(),
-        "HEATHERHOLLOW_TEST_SEED={seed}: not caught"
-    );
+    heatherhollow_properties::assert_caught(SIZE, property);
 }
 
 pub fn group(number: u8) -> GroupName {
