End transactions that outlast the primary that they began at

Cause: a transaction that begins at a primary asks for no position; its reads wait for evidence that the primary led. If another term became known between the begin and a read, the target counted as a replica, whose position had been checked at the begin, and the read was delivered without either.

Ruled out: positions by quorum and evidence of commits; neither was asked for these reads.

Change: a transaction remembers the term that it began in without a position. If its target does not lead that term any more and was not shown to lead before, it is rolled back: placed again if nothing ran, else aborted, which is a true promise.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -261,8 +261,14 @@
             return;
         };
         let session = &mut self.clients[i];
-        let setup = connection.setup_calls(session, max_prepared);
         let in_transaction = connection.in_transaction;
+        let leads = is_primary.then_some(term);
+        let open = session.open_transaction().filter(|_| in_transaction);
+        if open.is_some_and(|open| open.is_outlasted(leads)) {
+            self.take_back(id, client, now);
+            return;
+        }
+        let setup = connection.setup_calls(session, max_prepared);
         if !setup.is_empty() {
             if let Some(request) = &mut session.request {
                 request.stage = RequestStage::Preparing(id);
@@ -291,9 +297,11 @@
             state.want_check(complete);
         }
         if needs_begin {
-            let is_read_only = session
-                .open_transaction()
-                .is_some_and(|open| open.is_read_only);
+            let begun_in = after.is_none().then_some(term);
+            let is_read_only = session.open_transaction_mut().is_some_and(|open| {
+                open.begun_in = begun_in;
+                open.is_read_only
+            });
             let call = TargetCall::Begin {
                 is_read_only,
                 after,
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -127,6 +127,8 @@
     /// Whether a statement has been answered on the connection.
     pub has_run: bool,
     pub has_written: bool,
+    /// Term of the primary that it was begun at without a position; none if the target checked one.
+    pub begun_in: Option<TermNumber>,
     /// Whether the target is known to have led at the transaction's begin.
     pub is_verified: bool,
     /// When the last answer was given.
@@ -145,10 +147,18 @@
             home: None,
             has_run: false,
             has_written: false,
+            begun_in: None,
             is_verified: false,
             rests_since: now,
         }
     }
+
+    /// Whether it was begun at a primary that has been replaced since, before that was known to lead.
+    ///
+    /// No position was checked then, and no evidence of its term will come.
+    pub fn is_outlasted(&self, leads: Option<TermNumber>) -> bool {
+        !self.is_verified && self.begun_in.is_some() && self.begun_in != leads
+    }
 }
 
 /// Transaction state of a session.
--- a/crates/gateway/tests/desk/mod.rs
+++ b/crates/gateway/tests/desk/mod.rs
@@ -23,19 +23,23 @@
 /// Group of the targets.
 pub const GROUP: &str = "ledger";
 
-/// Status rows are `primary` and `replica`; both report position 10 of term 1.
+/// Status rows are `primary` and `replica`, which report position 10 of term 1, and `successor` and
+/// `follower`, which report position 20 of term 2.
 pub struct RoleFormat;
 
 impl StatusFormat for RoleFormat {
     fn decode(&self, row: &str) -> Option<StatusReport> {
+        let (role, term, position) = match row {
+            "primary" => (TargetRole::Primary, 1, 10),
+            "replica" => (TargetRole::Replica, 1, 10),
+            "successor" => (TargetRole::Primary, 2, 20),
+            "follower" => (TargetRole::Replica, 2, 20),
+            _ => return None,
+        };
         Some(StatusReport {
-            role: match row {
-                "primary" => TargetRole::Primary,
-                "replica" => TargetRole::Replica,
-                _ => return None,
-            },
-            term: TermNumber(1),
-            received: GroupPosition::new(1, 10),
+            role,
+            term: TermNumber(term),
+            received: GroupPosition::new(term, position),
             paused_for: None,
             lag: Duration::ZERO,
             busy_slots: 0,
@@ -44,19 +48,25 @@
     }
 }
 
-/// Targets of connections. A target's number is the port of its address; target 0 leads.
+/// Targets of connections. A target's number is the port of its address; target 0 leads term 1.
 #[derive(Default)]
-pub struct TargetTable(Vec<(ConnectionId, usize)>);
+pub struct TargetTable {
+    connections: Vec<(ConnectionId, usize)>,
+    /// Target that leads term 2. Target 0 has not heard of it.
+    pub successor: Option<usize>,
+}
 
 impl TargetTable {
     fn open(&mut self, connection: ConnectionId, address: SocketAddr) {
-        self.0.push((connection, usize::from(address.port())));
+        self.connections.push((connection, usize::from(address.port())));
     }
 
     /// The target of a connection.
     pub fn target(&self, connection: ConnectionId) -> usize {
-        let found = self.0.binary_search_by_key(&connection, |(id, _)| *id);
-        self.0[found.expect("connections are numbered in order")].1
+        let found = self
+            .connections
+            .binary_search_by_key(&connection, |(id, _)| *id);
+        self.connections[found.expect("connections are numbered in order")].1
     }
 
     /// What healthy targets do with an action that is not for a client, if it is for them.
@@ -80,9 +90,12 @@
 
     /// A healthy target's answer to a call that is no statement of a client.
     fn answer(&self, connection: ConnectionId, call: &TargetCall) -> TargetAnswer {
-        let row = match (call, self.target(connection)) {
-            (TargetCall::Status, 0) => "primary",
-            (TargetCall::Status, _) => "replica",
+        let target = self.target(connection);
+        let row = match (call, target, self.successor) {
+            (TargetCall::Status, 0, _) => "primary",
+            (TargetCall::Status, _, None) => "replica",
+            (TargetCall::Status, _, Some(leader)) if leader == target => "successor",
+            (TargetCall::Status, _, Some(_)) => "follower",
             _ => "",
         };
         let state = match call {
--- a/crates/gateway/tests/statements.rs
+++ b/crates/gateway/tests/statements.rs
@@ -352,6 +352,24 @@
     assert_eq!(code(Some(answer)), Some(ClientCode::InDoubt));
 }
 
+/// A transaction that was begun at a primary does not read there once another target leads: the read
+/// would miss commits of the new primary.
+#[test]
+fn transaction_does_not_outlast_its_primary() {
+    let mut desk = Desk::new("own");
+    desk.send(BEGIN);
+    desk.send(Statement::Write);
+    assert_eq!(desk.waiting_target(), 0);
+    desk.answer(success("", "sig", SessionState::Transaction));
+    desk.targets.successor = Some(1);
+    for _ in 0..20 {
+        desk.pass(100);
+    }
+    let answer = desk.send(Statement::Read);
+    assert!(desk.waiting.is_empty(), "the read went to the old primary");
+    assert_eq!(code(answer), Some(ClientCode::Aborted));
+}
+
 /// A transaction that rests too long is ended, and its client hears of it with its next statement.
 #[test]
 fn resting_transaction_is_ended() {
