Bound the cost of long queues and serve late statements last

Cause: each event considered each waiting statement. Reads tried a lagging replica each 120 ms each. The order by expected completion served all when late.

Change: queue_pass. A long queue is considered from its head once in 20 ms, in between only new statements and those that a target has room for. One read at a time finds out whether a replica still lags. Statements that can meet their objective go first, late ones last, newest first; none is refused before its objective as long as its time limit allows.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -21,6 +21,7 @@
 use crate::session::ClientRequest;
 use crate::session::ClientSession;
 use crate::session::OpenTransaction;
+use crate::session::QueuePlace;
 use crate::session::RequestKind;
 use crate::session::RequestStage;
 use crate::session::SessionTransaction;
@@ -280,6 +281,7 @@
             term,
             is_at_primary: false,
             stage: RequestStage::Queued,
+            queue_place: QueuePlace::New,
         });
         match place {
             (Some(connection), _) => self.advance_lent(connection, now),
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,9 +1,7 @@
-//! Placement of waiting statements on connections.
+//! Lending of connections to statements, and calls on them.
 //!
 //! Load that this answers: more statements than slots, targets that lag, rest or are gone, and a group
-//! without a primary. Statements wait here, not at the targets, as long as a refusal can still be true;
-//! the order is by expected completion (arrival plus objective), so short operations go ahead and no
-//! route starves.
+//! without a primary.
 
 use log::info;
 use log::trace;
@@ -25,7 +23,6 @@
 use crate::message::ClientError;
 use crate::message::ClientId;
 use crate::message::TargetCall;
-use crate::placement::Placement;
 use crate::session::ClientSession;
 use crate::session::RequestKind;
 use crate::session::RequestStage;
@@ -33,98 +30,7 @@
 use crate::statement::Statement;
 use crate::statistics::LatencyKind;
 
-/// What became of a statement that was offered to a target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum TargetOffer {
-    /// It got a connection.
-    Lent,
-    /// It waits for a connection that has to be opened.
-    Open,
-    /// It waits for room at the target.
-    Wait,
-    /// It cannot start in time.
-    TooLate,
-}
-
 impl SessionGateway {
-    /// Lends idle connections to waiting statements and opens connections that are missing.
-    pub(crate) fn dispatch(&mut self, group: GroupIndex, now: MonoTime) {
-        // Most groups have nothing to do at most events; an instance may know hundreds of them.
-        if self.groups[group.0].has_control {
-            self.send_control(group, now);
-        }
-        self.want_evidence(group, now);
-        if self.groups[group.0].queue.is_empty() {
-            return;
-        }
-        let mut order = std::mem::take(&mut self.groups[group.0].queue);
-        order.sort_by_key(|client| {
-            let request = self.client(*client).and_then(|s| s.request.as_ref());
-            request.map(|request| request.urgency())
-        });
-        let mut demand = vec![0_usize; self.groups[group.0].lanes.len()];
-        let mut wanted = demand.clone();
-        let mut waiting = Vec::new();
-        for client in order {
-            let Some(session) = self.client(client) else {
-                continue;
-            };
-            match self.place_request(group, session, &demand, now) {
-                Placement::Target(target) => {
-                    let ahead = demand[target.as_usize()];
-                    match self.offer(group, target, client, ahead, now) {
-                        TargetOffer::Lent => {}
-                        TargetOffer::TooLate => {
-                            self.refuse_late(client, RefusalReason::DeadlinePassed, now);
-                        }
-                        offer => {
-                            demand[target.as_usize()] += 1;
-                            wanted[target.as_usize()] += usize::from(offer == TargetOffer::Open);
-                            waiting.push(client);
-                        }
-                    }
-                }
-                Placement::Wait => waiting.push(client),
-                Placement::Refuse(reason) => self.refuse_late(client, reason, now),
-            }
-        }
-        // Refusals above may have let later queries of a client into the queue.
-        waiting.append(&mut self.groups[group.0].queue);
-        self.groups[group.0].queue = waiting;
-        self.probe_for_reads(group, now);
-        for (i, wanted) in wanted.into_iter().enumerate() {
-            self.open_wanted(group, index_of(i), wanted, now);
-        }
-    }
-
-    /// Lends a connection to a target to a statement, if one is idle and the target has room.
-    fn offer(
-        &mut self,
-        group: GroupIndex,
-        target: TargetIndex,
-        client: ClientId,
-        ahead: usize,
-        now: MonoTime,
-    ) -> TargetOffer {
-        let (Some(session), Some(lane)) = (self.client(client), self.groups[group.0].lane(target))
-        else {
-            return TargetOffer::Wait;
-        };
-        let has_room = lane.has_room();
-        if has_room && let Some(connection) = lane.idle_for(session) {
-            self.lend(group, connection, client, now);
-            return TargetOffer::Lent;
-        }
-        let request = session.request.as_ref();
-        if request.is_some_and(|request| self.is_too_late(group, target, request, ahead, now)) {
-            TargetOffer::TooLate
-        } else if has_room {
-            TargetOffer::Open
-        } else {
-            TargetOffer::Wait
-        }
-    }
-
     /// Asks replicas that have not answered for a while for their position, if reads wait: they may be
     /// fresh enough although others lag.
     pub(crate) fn probe_for_reads(&mut self, group: GroupIndex, now: MonoTime) {
@@ -415,7 +321,7 @@
     }
 
     /// Refuses a waiting request that is known not to be served in time.
-    fn refuse_late(&mut self, client: ClientId, reason: RefusalReason, now: MonoTime) {
+    pub(crate) fn refuse_late(&mut self, client: ClientId, reason: RefusalReason, now: MonoTime) {
         let text = "the statement cannot be run here in time";
         self.refuse_request(client, ClientCode::Busy, reason, text, now);
     }
--- a/crates/gateway/src/expiry.rs
+++ b/crates/gateway/src/expiry.rs
@@ -104,16 +104,17 @@
         let Some(request) = &session.request else {
             return false;
         };
-        let fraction = match request.stage {
+        let timeout = request.route.timeout;
+        let limit = match request.stage {
             RequestStage::Queued if self.groups[request.group.0].primary.is_none() => {
-                LEADERLESS_FRACTION
+                timeout.mul_f64(LEADERLESS_FRACTION)
             }
-            RequestStage::Queued => self.settings.queue_fraction,
+            RequestStage::Queued => request.patience(&self.settings),
             // The home ends it in time; this is for an answer that does not come.
-            RequestStage::Forwarded { .. } => FORWARD_FRACTION,
-            _ => 1.0,
+            RequestStage::Forwarded { .. } => timeout.mul_f64(FORWARD_FRACTION),
+            _ => timeout,
         };
-        now >= request.received_at + request.route.timeout.mul_f64(fraction)
+        now >= request.received_at + limit
     }
 
     pub(crate) fn expire_request(&mut self, client: ClientId, now: MonoTime) {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -30,6 +30,7 @@
 use crate::message::SessionState;
 use crate::session::ClientSession;
 use crate::session::OpenTransaction;
+use crate::session::QueuePlace;
 use crate::session::RequestKind;
 use crate::session::RequestStage;
 use crate::session::SessionTransaction;
@@ -187,6 +188,7 @@
                 self.groups[group.0].used_at = now;
                 if let Some(request) = self.client_mut(client).and_then(|s| s.request.as_mut()) {
                     request.stage = RequestStage::Queued;
+                    request.queue_place = QueuePlace::New;
                 }
                 let queue = &mut self.groups[group.0].queue;
                 if !queue.contains(&client) {
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -51,6 +51,10 @@
     pub has_control: bool,
     /// Clients whose requests wait for a connection.
     pub queue: Vec<ClientId>,
+    /// When the queue was last considered from its head.
+    pub passed_at: MonoTime,
+    /// Statements in the queue that wait for each target, by index, as the last passes found them.
+    pub demand: Vec<usize>,
     /// Clients whose answers wait for evidence of leadership.
     pub held: Vec<ClientId>,
     /// Replica and time of the evidence call that is under way.
@@ -102,6 +106,8 @@
             suspicion: Suspicion::Healthy,
             has_control: false,
             queue: Vec::new(),
+            passed_at: MonoTime::ZERO,
+            demand: Vec::new(),
             held: Vec::new(),
             check: None,
             copies_asked_at: MonoTime::ZERO,
@@ -334,6 +340,8 @@
         }
         self.primary = Some(target);
         self.last_primary = Some(target);
+        // What waits for a primary is considered at once.
+        self.passed_at = MonoTime::ZERO;
         self.monitor = PrimaryMonitor::new(monitor.clone());
         self.suspicion = Suspicion::Healthy;
         true
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod placement;
 mod promotion;
 mod promotion_steps;
+mod queue_pass;
 mod relay;
 mod session;
 mod settings;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -91,9 +91,15 @@
         };
         let choice = choose_route(&query, &views, &state.tracker, &self.settings.policy, now);
         let waited = now.since(request.received_at);
+        // While a replica lags, one statement at a time finds out whether it still does.
+        let pause = self.settings.lag_backoff;
+        let has_lacked = |target| {
+            required.is_some_and(|need| state.tracker.has_lacked(target, need, pause, now))
+        };
+        let idle = || idle_replica(state, &views, &has_lacked);
         if !matches!(choice, RouteChoice::Go(_))
             && waited >= self.settings.try_lagging_after
-            && let Some(target) = idle_replica(state, &views)
+            && let Some(target) = idle()
         {
             return Placement::Target(target);
         }
@@ -101,7 +107,7 @@
             // The cheapest target may have no connection free while another one has.
             RouteChoice::Go(target) => {
                 let is_free = state.lane(target).is_some_and(TargetLane::is_free);
-                let other = idle_replica(state, &views).filter(|_| !is_free);
+                let other = if is_free { None } else { idle() };
                 Placement::Target(other.unwrap_or(target))
             }
             RouteChoice::WaitFor { .. } => Placement::Wait,
@@ -178,11 +184,16 @@
     }
 }
 
-/// A replica with an idle connection among those that can be used.
-fn idle_replica(state: &DatabaseGroup, views: &[TargetView]) -> Option<TargetIndex> {
+/// A replica with an idle connection among those that can be used and are not known to be behind.
+fn idle_replica(
+    state: &DatabaseGroup,
+    views: &[TargetView],
+    has_lacked: &impl Fn(TargetIndex) -> bool,
+) -> Option<TargetIndex> {
     views
         .iter()
         .filter(|view| !view.is_primary && !view.is_leaving && !view.is_suspected)
+        .filter(|view| !has_lacked(view.target))
         .filter(|view| {
             let lane = state.lane(view.target);
             lane.is_some_and(TargetLane::is_free)
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -1,6 +1,8 @@
 //! State of one client's session.
 
+use std::cmp::Reverse;
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use heatherhollow_types::GroupPosition;
 use heatherhollow_types::MonoTime;
@@ -15,6 +17,7 @@
 use crate::message::ClientQuery;
 use crate::message::SessionState;
 use crate::message::TargetAnswer;
+use crate::settings::GatewaySettings;
 use crate::statement::PreparedShape;
 use crate::statement::Statement;
 
@@ -63,6 +66,17 @@
     },
 }
 
+/// What the last pass over the queue found for a statement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum QueuePlace {
+    /// It has not been considered yet.
+    New,
+    /// It waits for room at this target.
+    Target(TargetIndex),
+    /// No target can serve it now.
+    Nowhere,
+}
+
 /// A statement that needs a target.
 #[derive(Debug, Clone)]
 pub(crate) struct ClientRequest {
@@ -91,6 +105,8 @@
     /// Whether it was sent to the primary of that term.
     pub is_at_primary: bool,
     pub stage: RequestStage,
+    /// What it waits for while it is queued.
+    pub queue_place: QueuePlace,
 }
 
 impl ClientRequest {
@@ -106,13 +122,48 @@
         self.received_at + self.route.timeout
     }
 
-    /// Order in the queue: earliest expected completion first, so that routes with a short objective
-    /// go ahead and no route starves.
-    pub fn urgency(&self) -> (MonoTime, u32) {
-        (self.received_at + self.route.objective, self.route.priority)
+    /// How long it may wait for a connection.
+    pub fn patience(&self, settings: &GatewaySettings) -> Duration {
+        let timeout = self.route.timeout;
+        let in_time = timeout.mul_f64(settings.objective_fraction);
+        let least = timeout.mul_f64(settings.queue_fraction);
+        self.route.objective.min(in_time).max(least)
+    }
+
+    /// Order in the queue, while a statement takes `usual` at the target.
+    pub fn urgency(&self, usual: Duration, now: MonoTime) -> RequestUrgency {
+        let objective = self.route.objective;
+        let spare = objective.saturating_sub(usual * USUAL_FACTOR);
+        let latest_start = self.received_at + spare.min(objective.mul_f64(START_FRACTION));
+        if now <= latest_start {
+            RequestUrgency::InTime(self.received_at + objective, self.route.priority)
+        } else {
+            RequestUrgency::Late(Reverse(self.received_at))
+        }
     }
 }
 
+/// Part of its objective after which a statement that waits is unlikely to meet it: the rest is for the
+/// statement itself and, in a transaction, for those that follow.
+const START_FRACTION: f64 = 0.5;
+
+/// A statement that is to be in time is expected to take so many times what is usual; times vary by
+/// about half of their mean.
+const USUAL_FACTOR: u32 = 2;
+
+/// Order of waiting statements, the most urgent first.
+///
+/// In a queue that does not drain, the order of arrival would serve each statement when it is late
+/// already. So those that can meet their objective go first, the earliest expected completion ahead,
+/// and late ones take what is left, the newest ahead.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum RequestUrgency {
+    /// Expected completion and priority of a statement that can meet its objective.
+    InTime(MonoTime, u32),
+    /// Arrival of one that cannot.
+    Late(Reverse<MonoTime>),
+}
+
 /// An open transaction of a session.
 #[derive(Debug, Clone)]
 pub(crate) struct OpenTransaction {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -77,8 +77,12 @@
     pub min_answer_wait: Duration,
     /// Such an answer counts as lost after so many times the usual time of a statement at its target.
     pub answer_wait_factor: u32,
-    /// Part of a statement's time limit that it may wait for a connection.
+    /// Part of a statement's time limit that it may wait for a connection; clients whose deadline is
+    /// near the limit need the rest for another attempt.
     pub queue_fraction: f64,
+    /// Part of its time limit up to which a statement goes on waiting while it can meet its objective; the
+    /// rest is for the statement itself.
+    pub objective_fraction: f64,
     /// Time before a statement is offered again after a target was busy or did not lead.
     pub busy_backoff: Duration,
     /// Time before a statement is offered again to a target that lacked its position.
@@ -145,6 +149,7 @@
             min_answer_wait: Duration::from_millis(250),
             answer_wait_factor: 8,
             queue_fraction: 0.6,
+            objective_fraction: 0.8,
             busy_backoff: Duration::from_millis(20),
             lag_backoff: Duration::from_millis(120),
             max_attempts: 4,
--- a/crates/gateway/src/statistics.rs
+++ b/crates/gateway/src/statistics.rs
@@ -30,6 +30,8 @@
     fn unknown(&mut self, reason: UnknownReason);
     /// A statement is offered to a target again.
     fn retried(&mut self, reason: RetryReason);
+    /// A waiting statement was considered for a target.
+    fn placed(&mut self);
     /// A promotion was ordered and took effect, or was given up.
     fn promotion_ended(&mut self, is_done: bool);
     /// A connection to a target was opened.
@@ -44,6 +46,7 @@
     fn failed(&mut self, _reason: FailureReason) {}
     fn unknown(&mut self, _reason: UnknownReason) {}
     fn retried(&mut self, _reason: RetryReason) {}
+    fn placed(&mut self) {}
     fn promotion_ended(&mut self, _is_done: bool) {}
     fn connection_opened(&mut self) {}
     fn latency(&mut self, _kind: LatencyKind, _value: Duration) {}
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -41,8 +41,7 @@
         let Some(rate) = lane.and_then(|lane| lane.service_rate.best(now)) else {
             return false;
         };
-        let limit = request.route.timeout.mul_f64(self.settings.queue_fraction);
-        now + time_for(ahead, rate) >= request.received_at + limit
+        now + time_for(ahead, rate) >= request.received_at + request.patience(&self.settings)
     }
 
     /// When a statement that is refused now may come back.
--- a/crates/gateway/tests/desk/mod.rs
+++ b/crates/gateway/tests/desk/mod.rs
@@ -58,7 +58,8 @@
 
 impl TargetTable {
     fn open(&mut self, connection: ConnectionId, address: SocketAddr) {
-        self.connections.push((connection, usize::from(address.port())));
+        self.connections
+            .push((connection, usize::from(address.port())));
     }
 
     /// The target of a connection.
--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -3,6 +3,8 @@
 mod desk;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use heatherhollow_gateway::Catalog;
@@ -14,15 +16,21 @@
 use heatherhollow_gateway::GatewayAction;
 use heatherhollow_gateway::GatewayEvent;
 use heatherhollow_gateway::GatewaySettings;
+use heatherhollow_gateway::GatewayStatistics;
 use heatherhollow_gateway::GroupRule;
 use heatherhollow_gateway::InstanceIdentity;
+use heatherhollow_gateway::LatencyKind;
 use heatherhollow_gateway::RouteFreshness;
 use heatherhollow_gateway::SessionGateway;
 use heatherhollow_gateway::SessionRoute;
 use heatherhollow_gateway::SessionState;
 use heatherhollow_gateway::Statement;
 use heatherhollow_gateway::TargetCall;
+use heatherhollow_types::FailureReason;
 use heatherhollow_types::MonoTime;
+use heatherhollow_types::RefusalReason;
+use heatherhollow_types::RetryReason;
+use heatherhollow_types::UnknownReason;
 
 use desk::RoleFormat;
 use desk::TargetTable;
@@ -32,15 +40,39 @@
 /// Time limit of a statement; it may wait for 0.6 s of it.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time in which an operation should be over.
+const OBJECTIVE: Duration = Duration::from_millis(300);
+
+/// Counts how often waiting statements are considered.
+struct PlacementCount(Arc<AtomicUsize>);
+
+impl GatewayStatistics for PlacementCount {
+    fn served(&mut self, _is_primary: bool) {}
+    fn refused(&mut self, _reason: RefusalReason) {}
+    fn failed(&mut self, _reason: FailureReason) {}
+    fn unknown(&mut self, _reason: UnknownReason) {}
+    fn retried(&mut self, _reason: RetryReason) {}
+    fn placed(&mut self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+    fn promotion_ended(&mut self, _is_done: bool) {}
+    fn connection_opened(&mut self) {}
+    fn latency(&mut self, _kind: LatencyKind, _value: Duration) {}
+}
+
 /// One gateway before a primary that works on each statement for a set time.
 struct BusyPrimary {
     gateway: SessionGateway,
     now: MonoTime,
     work: Duration,
+    /// Statements that the primary works on at the same time; further ones wait there.
+    slots: usize,
     targets: TargetTable,
     running: Vec<(MonoTime, ConnectionId)>,
-    answers: Vec<(MonoTime, ClientAnswer)>,
+    answers: Vec<(MonoTime, ClientId, ClientAnswer)>,
     clients: u64,
+    /// Times that a waiting statement was considered.
+    placements: Arc<AtomicUsize>,
     /// Whether the primary answers nothing.
     is_failed: bool,
 }
@@ -54,10 +86,14 @@
         };
         let settings = GatewaySettings::default();
         let format = Arc::new(RoleFormat);
+        let placements = Arc::new(AtomicUsize::new(0));
+        let statistics = Box::new(PlacementCount(Arc::clone(&placements)));
         let mut desk = Self {
-            gateway: SessionGateway::new(settings, identity, format, Box::new(())),
+            gateway: SessionGateway::new(settings, identity, format, statistics),
+            placements,
             now: MonoTime::from_millis(10_000),
             work,
+            slots: usize::MAX,
             targets: TargetTable::default(),
             running: Vec::new(),
             answers: Vec::new(),
@@ -99,10 +135,10 @@
     }
 
     fn perform(&mut self, action: GatewayAction) -> Option<GatewayEvent> {
-        if let GatewayAction::AnswerClient { answer, .. } = action {
+        if let GatewayAction::AnswerClient { client, answer } = action {
             // Those to the sessions of the start are not looked at.
             if self.clients > 0 {
-                self.answers.push((self.now, answer));
+                self.answers.push((self.now, client, answer));
             }
             return None;
         }
@@ -117,7 +153,9 @@
             return None;
         }
         if is_running {
-            self.running.push((self.now + self.work, connection));
+            let last = self.running.len().checked_sub(self.slots);
+            let starts_at = last.map_or(self.now, |i| self.running[i].0);
+            self.running.push((starts_at + self.work, connection));
             return None;
         }
         event
@@ -134,7 +172,7 @@
         let answers = std::mem::take(&mut self.answers);
         let errors = answers
             .into_iter()
-            .filter_map(|(_, answer)| answer.end.err());
+            .filter_map(|(_, _, answer)| answer.end.err());
         errors
             .filter(|error| error.code == ClientCode::Busy)
             .map(|error| error.retry_after.expect("a refusal says when to come back"))
@@ -166,7 +204,7 @@
     fn take_answers(&mut self) -> (usize, Vec<Duration>) {
         let mut served = 0;
         let mut advice = Vec::new();
-        for (_, answer) in std::mem::take(&mut self.answers) {
+        for (_, _, answer) in std::mem::take(&mut self.answers) {
             match answer.end {
                 Ok(_) => served += 1,
                 Err(error) => {
@@ -187,7 +225,7 @@
             group: "ledger".to_string(),
             freshness: RouteFreshness::Primary,
             timeout: TIMEOUT,
-            objective: Duration::from_millis(500),
+            objective: OBJECTIVE,
             priority: 1,
         }],
         groups: vec![GroupRule {
@@ -269,3 +307,61 @@
         assert!(span >= least, "{span:?} is too soon");
     }
 }
+
+/// Twice what the primary works on, for seconds. Served in the order of arrival, each write would have
+/// waited until it is late; so the primary's whole work would be of little use to the clients.
+#[test]
+fn overload_leaves_the_served_in_time() {
+    let mut desk = BusyPrimary::new(Duration::from_millis(20));
+    for _ in 0..40 {
+        desk.write(1);
+        desk.pass(Duration::from_millis(50));
+    }
+    desk.answers.clear();
+    desk.slots = 2;
+    let mut sent = Vec::new();
+    for _ in 0..600 {
+        desk.write(1);
+        sent.push((ClientId(desk.clients), desk.now));
+        desk.pass(Duration::from_millis(5));
+    }
+    let answers = std::mem::take(&mut desk.answers);
+    let took = answers
+        .iter()
+        .filter(|(_, _, answer)| answer.end.is_ok())
+        .map(|(at, client, _)| {
+            let i = sent.binary_search_by_key(client, |(id, _)| *id).unwrap();
+            at.since(sent[i].1)
+        })
+        .collect::<Vec<_>>();
+    // Two slots of 20 ms a write serve 300 in 3 s.
+    assert!(took.len() >= 285, "{} writes were served", took.len());
+    let in_time = took.iter().filter(|took| **took <= OBJECTIVE).count();
+    assert!(
+        in_time * 10 >= took.len() * 9,
+        "{in_time} of {} served writes met their objective",
+        took.len()
+    );
+}
+
+/// A long queue must not make each event cost time for each statement in it: an instance then became
+/// slower than its targets, and did not recover while the load lasted.
+#[test]
+fn long_queue_is_considered_once_an_interval() {
+    let mut desk = BusyPrimary::new(Duration::from_millis(20));
+    for _ in 0..40 {
+        desk.write(1);
+        desk.pass(Duration::from_millis(50));
+    }
+    desk.slots = 2;
+    desk.write(60);
+    desk.placements.store(0, Ordering::Relaxed);
+    for _ in 0..400 {
+        desk.write(1);
+        desk.pass(Duration::from_millis(5));
+    }
+    // In 2 s: 100 passes over at most 64 statements, 400 new ones, and 4 for each of 200 answers.
+    let most = 100 * 64 + 400 + 4 * 200;
+    let count = desk.placements.load(Ordering::Relaxed);
+    assert!(count <= most, "statements were considered {count} times");
+}
--- a/crates/routing/src/tracker.rs
+++ b/crates/routing/src/tracker.rs
@@ -295,6 +295,20 @@
         }
     }
 
+    /// Whether the target's last answer, received at most `age` ago, was behind the position.
+    pub fn has_lacked(
+        &self,
+        target: TargetIndex,
+        need: GroupPosition,
+        age: Duration,
+        now: MonoTime,
+    ) -> bool {
+        self.replica(target).is_some_and(|state| {
+            let is_recent = now.since(state.answered_at) <= age;
+            is_recent && self.is_in_history(state.position) && !self.holds(state.position, need)
+        })
+    }
+
     /// Lowest age bound of the last answers of all replicas.
     pub fn best_age(&self, now: MonoTime) -> Option<Duration> {
         self.replicas
--- a/crates/runner/src/metrics.rs
+++ b/crates/runner/src/metrics.rs
@@ -37,6 +37,7 @@
     retried: Family<ReasonLabel, Counter>,
     promotions: Family<ReasonLabel, Counter>,
     connections_opened: Counter,
+    placements: Counter,
     latencies: Family<ReasonLabel, Histogram>,
     /// Open client sessions.
     pub sessions: Gauge,
@@ -55,6 +56,7 @@
             retried: Family::default(),
             promotions: Family::default(),
             connections_opened: Counter::default(),
+            placements: Counter::default(),
             latencies: Family::new_with_constructor(histogram),
             sessions: Gauge::default(),
         };
@@ -99,6 +101,11 @@
             "Connections opened to targets",
             metrics.connections_opened.clone(),
         );
+        registry.register(
+            "placements",
+            "Times that a waiting statement was considered for a target",
+            metrics.placements.clone(),
+        );
         registry.register("sessions", "Open client sessions", metrics.sessions.clone());
         registry.register(
             "latency_seconds",
@@ -154,6 +161,10 @@
         Self::count(&self.0.promotions, outcome);
     }
 
+    fn placed(&mut self) {
+        self.0.placements.inc();
+    }
+
     fn connection_opened(&mut self) {
         self.0.connections_opened.inc();
     }
