Close sessions after their answers during a planned stop

Cause: from the notice on, a stop closed the sessions that were idle when it looked, each 50 ms. A session that sends one query after the other was hardly ever idle then; at the end of the grace its last write had run and was cut.

Ruled out: events that are read but not taken (they are taken before sessions are closed, as before), answers that are not written (the process ends only after the client tasks have ended).

Change: from the notice on, sessions are looked at after each batch of events, so one is closed when its answer leaves it idle.

--- a/crates/runner/src/run.rs
+++ b/crates/runner/src/run.rs
@@ -284,6 +284,11 @@
                     for event in batch.drain(..) {
                         self.take_runner_event(event, now);
                     }
+                    if self.is_closing(now) {
+                        // A session that sends one query after the other is idle only between an answer
+                        // and the next query; the end of the grace would cut it.
+                        next_tick = now;
+                    }
                 }
             }
         }
@@ -460,17 +465,21 @@
         }
     }
 
+    /// Whether a stop has begun and clients and other instances have had time to notice.
+    fn is_closing(&self, now: MonoTime) -> bool {
+        let grace = self.parts.settings.stop_grace;
+        let notice = self.parts.settings.leave_notice.min(grace.mul_f64(0.4));
+        self.stop_began
+            .is_some_and(|began| now.since(began) >= notice)
+    }
+
     /// Closes what can be closed; true once the process may end.
     fn continue_stop(&mut self, now: MonoTime) -> bool {
-        let Some(began) = self.stop_began else {
+        let Some(began) = self.stop_began.filter(|_| self.is_closing(now)) else {
             return false;
         };
         let grace = self.parts.settings.stop_grace;
         let spent = now.since(began);
-        let notice = self.parts.settings.leave_notice.min(grace.mul_f64(0.4));
-        if spent < notice {
-            return false;
-        }
         let actions = self.gateway.close_idle_sessions(spent >= grace / 2);
         for action in actions {
             self.perform(action);
