Ask one replica for a commit's copy and spare calls to the store

Cause: each commit asked both replicas for its copy each 20 ms, and each question takes a slot; at a start each instance read the places of its data centre twice at full price, and all renewed their entries each 2.7 s.

Change: the replica that showed the last copy is asked first, the next one while a commit waits for longer than a question. Instances' entries last 15 s, as long as they stay known without one; readers' places 8 s as before.

--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -59,8 +59,8 @@
     pub held: Vec<ClientId>,
     /// Replica and time of the evidence call that is under way.
     pub check: Option<(TargetIndex, MonoTime)>,
-    /// When replicas were last asked whether they have a commit whose answer waits.
-    pub copies_asked_at: MonoTime,
+    /// Replica that was last asked whether it has a commit whose answer waits, and when.
+    pub copies_asked: Option<(TargetIndex, MonoTime)>,
     /// Latest time that evidence is wanted for.
     pub check_wanted: Option<MonoTime>,
     /// Since when evidence has been wanted and not come.
@@ -110,7 +110,7 @@
             demand: Vec::new(),
             held: Vec::new(),
             check: None,
-            copies_asked_at: MonoTime::ZERO,
+            copies_asked: None,
             check_wanted: None,
             unproved_since: None,
             ahead_since: None,
@@ -247,16 +247,22 @@
     /// A target takes records before it is listed, and a promotion knows nothing of it; so the primary's
     /// word that some replica has a commit does not mean that the commit outlives a promotion.
     pub fn is_copied(&self, position: GroupPosition, now: MonoTime) -> bool {
-        self.targets().any(|(i, lane)| {
+        self.copy_holders(now).any(|(_, lane)| {
             let has_it = |(_, report): (MonoTime, StatusReport)| {
                 report.term == self.term && report.received >= position
             };
             let has_shown_it = lane
                 .shown
                 .is_some_and(|shown| shown.term == self.term && shown >= position);
-            let is_known = Some(i) != self.primary && is_established(lane, now);
-            // The log of a target that is leaving goes with it.
-            is_known && !lane.is_leaving() && (has_shown_it || lane.report.is_some_and(has_it))
+            has_shown_it || lane.report.is_some_and(has_it)
+        })
+    }
+
+    /// Replicas whose copy of a commit shows that it outlives a promotion: every instance knows them, and
+    /// they stay; the log of a target that is leaving goes with it.
+    pub fn copy_holders(&self, now: MonoTime) -> impl Iterator<Item = (TargetIndex, &TargetLane)> {
+        self.targets().filter(move |(i, lane)| {
+            Some(*i) != self.primary && is_established(lane, now) && !lane.is_leaving()
         })
     }
 
--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -121,30 +121,48 @@
         state.term == request.term && state.led_at.is_some_and(|led_at| led_at >= needs)
     }
 
-    /// Asks the replicas of a group whether they have the commits whose answers wait.
+    /// Asks a replica of a group whether it has the commits whose answers wait.
+    ///
+    /// One that showed the last commits is asked first, and the others in turn while a commit waits: both
+    /// have nearly all commits at once, and each question takes a slot.
     pub(crate) fn ask_for_copies(&mut self, group: GroupIndex, now: MonoTime) {
         let state = &self.groups[group.0];
-        let is_waiting = state.held.iter().any(|client| {
-            let request = self.client(*client).and_then(|s| s.request.as_ref());
-            let stage = request.map(|request| &request.stage);
-            matches!(
-                stage,
-                Some(RequestStage::Held {
+        let commits = state.held.iter().filter_map(|client| {
+            let request = self.client(*client)?.request.as_ref()?;
+            let is_commit = matches!(
+                request.stage,
+                RequestStage::Held {
                     proof: AnswerProof::Copy,
                     ..
-                })
-            )
+                }
+            );
+            is_commit.then_some(request.sent_at)
         });
-        if !is_waiting || now.since(state.copies_asked_at) < COPY_INTERVAL {
+        let Some(oldest) = commits.min() else {
+            return;
+        };
+        let last = state.copies_asked;
+        if last.is_some_and(|(_, at)| now.since(at) < COPY_INTERVAL) {
             return;
         }
+        let mut replicas = state.copy_holders(now).collect::<Vec<_>>();
+        replicas.sort_by_key(|(_, lane)| {
+            let is_remote = self.identity.is_remote(&lane.entry.data_centre);
+            (lane.is_unreachable(), is_remote)
+        });
+        let known = last.and_then(|(target, _)| replicas.iter().position(|(i, _)| *i == target));
+        let has_missed = last.is_some_and(|(_, at)| at >= oldest);
+        let next = match known {
+            Some(i) if has_missed => (i + 1) % replicas.len(),
+            known => known.unwrap_or(0),
+        };
+        let Some((target, _)) = replicas.get(next) else {
+            return;
+        };
+        let target = *target;
         let state = &mut self.groups[group.0];
-        state.copies_asked_at = now;
-        let replicas = state.targets().map(|(i, _)| i);
-        let replicas = replicas.filter(|i| Some(*i) != state.primary);
-        for target in replicas.collect::<Vec<_>>() {
-            state.control(target, ControlPurpose::Observe, TargetCall::Status, now);
-        }
+        state.copies_asked = Some((target, now));
+        state.control(target, ControlPurpose::Observe, TargetCall::Status, now);
     }
 
     /// Delivers held answers for which there is evidence now; those of an earlier term are given up.
--- a/crates/gateway/tests/statements.rs
+++ b/crates/gateway/tests/statements.rs
@@ -46,6 +46,8 @@
     waiting: Vec<WaitingCall>,
     answers: Vec<ClientAnswer>,
     setup: Vec<TargetCall>,
+    /// Targets that were asked for their status.
+    asked: Vec<usize>,
 }
 
 const CLIENT: ClientId = ClientId(1);
@@ -66,6 +68,7 @@
             waiting: Vec::new(),
             answers: Vec::new(),
             setup: Vec::new(),
+            asked: Vec::new(),
         };
         desk.tell(GatewayEvent::CatalogRead(catalog()));
         desk.tell(GatewayEvent::TargetsRead((0..3).map(entry).collect()));
@@ -117,10 +120,17 @@
             }
             action => {
                 let event = self.targets.respond(&action);
-                if let GatewayAction::CallTarget { call, .. } = action
-                    && !matches!(call, TargetCall::Status | TargetCall::Start { .. })
-                {
-                    self.setup.push(call);
+                match action {
+                    GatewayAction::CallTarget {
+                        connection,
+                        call: TargetCall::Status,
+                    } => self.asked.push(self.targets.target(connection)),
+                    GatewayAction::CallTarget { call, .. }
+                        if !matches!(call, TargetCall::Start { .. }) =>
+                    {
+                        self.setup.push(call);
+                    }
+                    _ => {}
                 }
                 event
             }
@@ -544,6 +554,25 @@
     }
 }
 
+/// A commit whose copy no replica shows yet must not ask all of them again and again: each question takes a
+/// slot at its target. All are asked in turn, as one may be cut off.
+#[test]
+fn one_replica_at_a_time_is_asked_for_a_copy() {
+    let mut desk = Desk::new("present");
+    desk.send(Statement::Write);
+    desk.asked.clear();
+    assert_eq!(desk.answer(committed_at(11)), None);
+    for _ in 0..8 {
+        desk.pass(10);
+    }
+    // One question each 20 ms of 110 ms, and one of the periodic observation.
+    let replicas = desk.asked.iter().filter(|target| **target != 0).count();
+    assert!(replicas <= 7, "{replicas} questions to replicas");
+    for replica in [1, 2] {
+        assert!(desk.asked.contains(&replica), "{replica} was not asked");
+    }
+}
+
 /// A target that has just been listed may be unknown to the instance that orders a promotion.
 #[test]
 fn new_target_is_no_listed_copy() {
--- a/crates/heatherhollow/tests/following.rs
+++ b/crates/heatherhollow/tests/following.rs
@@ -95,3 +95,39 @@
         cluster.stop().await;
     });
 }
+
+/// Instances that restart after a database was removed must not serve it again, even if a reader that they
+/// may follow has not heard of the removal: the store does not answer it.
+#[test]
+fn restarted_followers_do_not_go_back() {
+    run(async {
+        let mut cluster = start("restarted").await;
+        cluster.world.add_database("db-old");
+        let all = (0..INSTANCES).collect::<Vec<_>>();
+        cluster.wait_for(&all, "db-old").await;
+        let (readers, followers) = roles(&cluster);
+        for reader in &readers[..2] {
+            let fault = SoakFault::StoreLink(*reader, ProxyMode::Silent);
+            cluster.world.apply(fault, true).unwrap();
+        }
+        cluster.world.remove_database("db-old");
+        let removed_at = Instant::now();
+        for follower in &followers {
+            let kill = SoakFault::Kill(*follower);
+            cluster.world.apply(kill, true).unwrap();
+            assert!(cluster.world.instance(*follower).wait(PATIENCE).await);
+            cluster.world.apply(kill, false).unwrap();
+        }
+        cluster.wait_for(&followers, "db-present").await;
+        // The operators' bound for a configuration.
+        let bound = Duration::from_secs(3);
+        tokio::time::sleep(bound.saturating_sub(removed_at.elapsed())).await;
+        for follower in &followers {
+            assert!(
+                !cluster.world.serves(*follower, "db-old").await,
+                "instance {follower} serves a database that was removed before its start"
+            );
+        }
+        cluster.stop().await;
+    });
+}
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -77,6 +77,15 @@
     /// Reads all values below a path, and the store's revision at that time.
     async fn list(&self, prefix: &str) -> Result<(Vec<StoreEntry>, StoreRevision), StoreError>;
 
+    /// Like [`StorePort::list`], but the values may be those of some seconds ago if that makes the call
+    /// cheaper.
+    async fn list_recent(
+        &self,
+        prefix: &str,
+    ) -> Result<(Vec<StoreEntry>, StoreRevision), StoreError> {
+        self.list(prefix).await
+    }
+
     /// Stores `value` if the present revision is `expected` (none: there is no value).
     async fn compare_and_swap(
         &self,
--- a/crates/runner/src/readers.rs
+++ b/crates/runner/src/readers.rs
@@ -116,11 +116,14 @@
 
 impl ReaderPlaces {
     /// Takes a free place, or tells whom to follow.
-    pub async fn choose(&self) -> Result<ReaderChoice, StoreError> {
-        let mut view = self.view().await?;
+    ///
+    /// At the start of an instance the places of some seconds ago do: those of holders that restart with
+    /// it are in them, and a place that seems free is looked at again.
+    pub async fn choose(&self, is_start: bool) -> Result<ReaderChoice, StoreError> {
+        let mut view = self.view(is_start).await?;
         if view.own.is_none() && !view.free.is_empty() {
             sleep(TAKE_SPREAD.mul_f64(rand::random_range(0.0..1.0))).await;
-            view = self.view().await?;
+            view = self.view(false).await?;
         }
         let PlaceView {
             own,
@@ -146,9 +149,12 @@
         Ok(ReaderChoice::Follows(others.collect()))
     }
 
-    async fn view(&self) -> Result<PlaceView, StoreError> {
+    async fn view(&self, may_be_old: bool) -> Result<PlaceView, StoreError> {
         let prefix = format!("{READERS_PREFIX}{}", self.data_centre);
-        let (entries, _) = self.store.list(&prefix).await?;
+        let (entries, _) = match may_be_old {
+            true => self.store.list_recent(&prefix).await?,
+            false => self.store.list(&prefix).await?,
+        };
         let mut view = PlaceView::default();
         for place in 0..READER_PLACES {
             let path = format!("{prefix}/{place}");
--- a/crates/runner/src/run.rs
+++ b/crates/runner/src/run.rs
@@ -171,7 +171,7 @@
                 instance: name.clone(),
                 address: link_address,
             },
-            lease: settings.member_lease,
+            lease: settings.reader_lease,
             is_leaving: is_leaving.clone(),
             mirror: mirror.clone(),
         },
--- a/crates/runner/src/settings.rs
+++ b/crates/runner/src/settings.rs
@@ -36,8 +36,11 @@
     /// Lease of the promotion duty. Long enough for the steps of a promotion, short enough that the
     /// duty of a dead instance is free soon.
     pub duty_lease: Duration,
-    /// Lease of the instance's own entry.
+    /// Lease of the instance's own entry. As long as instances stay known after their entries lapse;
+    /// links show sooner that one is gone.
     pub member_lease: Duration,
+    /// Lease of a place among the readers of the store; a dead reader's place is free after it.
+    pub reader_lease: Duration,
 }
 
 impl Default for InstanceSettings {
@@ -60,7 +63,8 @@
             leave_notice: Duration::from_millis(2_200),
             watch_wait: Duration::from_secs(4),
             duty_lease: Duration::from_millis(2_500),
-            member_lease: Duration::from_secs(8),
+            member_lease: Duration::from_secs(15),
+            reader_lease: Duration::from_secs(8),
         }
     }
 }
--- a/crates/runner/src/watch.rs
+++ b/crates/runner/src/watch.rs
@@ -117,8 +117,11 @@
 
     /// Runs until the main loop ends.
     pub async fn run(mut self) {
+        let mut is_start = true;
         while !self.parts.events.is_closed() {
-            match self.parts.places.choose().await {
+            let choice = self.parts.places.choose(is_start).await;
+            is_start = false;
+            match choice {
                 Ok(ReaderChoice::Reads(place, earlier)) => {
                     self.note_answer();
                     self.parts.mirror.set_reader(true);
