Summarize the log lines that are left out

Cause: at 40 lines a second the instance with the fault left out 40 to 80 lines a second and said only how many.

Change: LogBudget counts them by event, reason, group and target, with the least and greatest wait, and writes that with the next second.

The test left_out_lines_are_summarized adds written and summarized lines up to all refusals; it cannot pass without the summaries.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use log::info;
-use log::warn;
 
 use heatherhollow_types::MonoTime;
 use heatherhollow_types::TargetIndex;
@@ -22,6 +21,8 @@
 use crate::lane::ConnectionId;
 use crate::lane::ControlPurpose;
 use crate::lane::TargetConnection;
+use crate::log_budget::LineKind;
+use crate::log_budget::LogBudget;
 use crate::message::ClientId;
 use crate::message::StatusFormat;
 use crate::message::TargetCall;
@@ -46,14 +47,6 @@
     Held(DutyToken),
 }
 
-/// Bounds the log lines of a second.
-#[derive(Debug, Default)]
-struct LogBudget {
-    second: u64,
-    lines: u32,
-    dropped: u64,
-}
-
 /// Sessions of clients in front of database groups.
 pub struct SessionGateway {
     pub(crate) settings: GatewaySettings,
@@ -81,7 +74,7 @@
     pub(crate) listed_since: Option<MonoTime>,
     pub(crate) is_stopping: bool,
     pub(crate) actions: Vec<GatewayAction>,
-    log_budget: LogBudget,
+    pub(crate) log_budget: LogBudget,
 }
 
 impl SessionGateway {
@@ -212,6 +205,7 @@
     }
 
     fn tick(&mut self, now: MonoTime) {
+        self.log_budget.flush(now);
         self.expire_starts(now);
         self.expire_requests(now);
         self.resend_delayed(now);
@@ -471,22 +465,32 @@
 
     /// Whether another log line about a statement may be written in this second.
     pub(crate) fn may_log(&mut self, now: MonoTime) -> bool {
-        let second = now.as_micros() / 1_000_000;
-        if self.log_budget.second != second {
-            if self.log_budget.dropped > 0 {
-                warn!("log_lines_dropped count={}", self.log_budget.dropped);
-            }
-            self.log_budget = LogBudget {
-                second,
-                ..LogBudget::default()
-            };
+        self.log_budget.allows(self.settings.max_log_lines, now)
+    }
+
+    /// Whether a line about a client's request may be written in this second; if not, it goes into the
+    /// summary of the second.
+    pub(crate) fn may_log_request(
+        &mut self,
+        event: &'static str,
+        reason: &str,
+        client: ClientId,
+        now: MonoTime,
+    ) -> bool {
+        if self.may_log(now) {
+            return true;
         }
-        if self.log_budget.lines >= self.settings.max_log_lines {
-            self.log_budget.dropped += 1;
-            return false;
+        if let Some(request) = self.client(client).and_then(|s| s.request.as_ref()) {
+            let took = now.since(request.received_at);
+            let kind = LineKind {
+                event,
+                reason: reason.to_string(),
+                group: request.route.group.clone(),
+                target: request.sent_to.clone(),
+            };
+            self.log_budget.summarize(kind, took);
         }
-        self.log_budget.lines += 1;
-        true
+        false
     }
 }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -336,7 +336,7 @@
         now: MonoTime,
     ) {
         self.statistics.refused(reason);
-        let may_log = self.may_log(now);
+        let may_log = self.may_log_request("statement_refused", reason.as_str(), client, now);
         let inputs = may_log.then(|| self.describe_inputs(client, now));
         let retry_after = self.client(client).and_then(|session| {
             let request = session.request.as_ref()?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod held;
 mod homes;
 mod lane;
+mod log_budget;
 mod losses;
 mod message;
 mod observe;
--- a/crates/gateway/src/losses.rs
+++ b/crates/gateway/src/losses.rs
@@ -194,7 +194,7 @@
     /// Tells a client that its write or commit may have taken effect.
     pub(crate) fn put_in_doubt(&mut self, client: ClientId, reason: UnknownReason, now: MonoTime) {
         self.statistics.unknown(reason);
-        let may_log = self.may_log(now);
+        let may_log = self.may_log_request("statement_in_doubt", reason.as_str(), client, now);
         let Some(session) = self.client_mut(client) else {
             return;
         };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -327,7 +327,7 @@
         now: MonoTime,
     ) {
         let id = place.connection;
-        let may_log = self.may_log(now);
+        let may_log = self.may_log_request("statement_failed", &code.to_string(), client, now);
         let Some(session) = self.client_mut(client) else {
             return;
         };
--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -2,11 +2,17 @@
 
 mod desk;
 
+use std::cell::RefCell;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use log::LevelFilter;
+use log::Log;
+use log::Metadata;
+use log::Record;
+
 use heatherhollow_gateway::Catalog;
 use heatherhollow_gateway::ClientAnswer;
 use heatherhollow_gateway::ClientCode;
@@ -365,3 +371,64 @@
     let count = desk.placements.load(Ordering::Relaxed);
     assert!(count <= most, "statements were considered {count} times");
 }
+
+thread_local! {
+    /// Log lines of this test's thread.
+    static LINES: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
+}
+
+/// Keeps log lines by thread, since tests run beside each other.
+struct LineLog;
+
+impl Log for LineLog {
+    fn enabled(&self, _metadata: &Metadata) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record) {
+        LINES.with_borrow_mut(|lines| lines.push(record.args().to_string()));
+    }
+
+    fn flush(&self) {}
+}
+
+/// A value of a log line.
+fn value(line: &str, name: &str) -> u64 {
+    let (_, rest) = line.split_once(&format!(" {name}=")).unwrap();
+    rest.split(' ').next().unwrap().parse().unwrap()
+}
+
+/// Under load most lines are left out, and what was left out was the instance with the fault. The summary
+/// of each second has to tell which group, why, how many and how long they waited.
+#[test]
+fn left_out_lines_are_summarized() {
+    log::set_logger(&LineLog).unwrap();
+    log::set_max_level(LevelFilter::Info);
+    let mut desk = BusyPrimary::new(Duration::from_millis(100));
+    for _ in 0..20 {
+        desk.write(1);
+        desk.pass(Duration::from_millis(120));
+    }
+    desk.answers.clear();
+    LINES.take();
+    desk.write(300);
+    desk.pass(Duration::from_secs(3));
+    let refused = desk.advice().len();
+    let lines = LINES.take();
+    let count = |event: &str| lines.iter().filter(|line| line.starts_with(event)).count();
+    let written = count("statement_refused ");
+    let summaries = lines
+        .iter()
+        .filter(|line| line.starts_with("log_lines_summarized line=statement_refused "))
+        .collect::<Vec<_>>();
+    let summarized = summaries
+        .iter()
+        .map(|line| value(line, "count"))
+        .sum::<u64>();
+    assert!(written < refused, "{written} lines for {refused} refusals");
+    assert_eq!(written as u64 + summarized, refused as u64);
+    for line in summaries {
+        assert!(line.contains(" group=ledger "), "{line}");
+        assert!(value(line, "least_ms") <= value(line, "most_ms"));
+    }
+}
