--- a/crates/runner/src/frames.rs
+++ b/crates/runner/src/frames.rs
@@ -87,7 +87,7 @@
     /// Plain entries.
     #[prost(message, repeated, tag = "3")]
     pub entries: Vec<EntryFrame>,
-    /// Packed [`EntryList`], in place of `entries`.
+    /// Packed entries, in place of `entries`.
     #[prost(bytes = "bytes", tag = "4")]
     pub packed: bytes::Bytes,
 }
@@ -204,7 +204,7 @@
     /// The target's signature.
     #[prost(string, optional, tag = "3")]
     pub signature: Option<String>,
-    /// Index in [`CODES`] plus one; 0 for success.
+    /// Number of the code, from 1; 0 for success.
     #[prost(uint32, tag = "4")]
     pub code: u32,
     /// The text.
