Log the term and the evidence behind answers

statement_served names them: at level info if the group's term changed since the statement was sent or its transaction was begun, else at debug as before. answer_unproved and transaction_outlasted are new lines for the decisions not to pass an answer on. All keep to the budget of log lines.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -171,6 +171,10 @@
         let leads = is_primary.then_some(term);
         let open = session.open_transaction().filter(|_| in_transaction);
         if open.is_some_and(|open| open.is_outlasted(leads)) {
+            if self.may_log_request("transaction_outlasted", "term_changed", client, now) {
+                let evidence = self.describe_evidence(client, now);
+                info!("transaction_outlasted client={client} target={target} {evidence}");
+            }
             self.take_back(id, client, now);
             return;
         }
--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use log::info;
+
 use heatherhollow_types::MonoTime;
 use heatherhollow_types::RetryReason;
 use heatherhollow_types::UnknownReason;
@@ -121,6 +123,38 @@
         state.term == request.term && state.led_at.is_some_and(|led_at| led_at >= needs)
     }
 
+    /// The terms and the evidence behind the present answer of a client, for its log line: the group's term
+    /// now, the term that the statement was sent in, the one that its transaction was begun in, and how
+    /// long ago the primary has to have led and is known to have led.
+    pub(crate) fn describe_evidence(&self, client: ClientId, now: MonoTime) -> String {
+        let Some(session) = self.client(client) else {
+            return String::new();
+        };
+        let Some(request) = &session.request else {
+            return String::new();
+        };
+        let state = &self.groups[request.group.0];
+        let open = session.open_transaction();
+        let begun_in = open.and_then(|open| open.begun_in);
+        let age = |time: Option<MonoTime>| {
+            time.map_or("none".to_string(), |time| {
+                now.since(time).as_millis().to_string()
+            })
+        };
+        format!(
+            "group={} term={} sent_in={} begun_in={} at_primary={} proved_before={} needed_ms={} \
+             led_ms={}",
+            state.name,
+            state.term,
+            request.term,
+            begun_in.map_or("none".to_string(), |term| term.to_string()),
+            request.is_at_primary,
+            open.is_some_and(|open| open.is_verified),
+            age(session.evidence_from()),
+            age(state.led_at)
+        )
+    }
+
     /// Asks a replica of a group whether it has the commits whose answers wait.
     ///
     /// One that showed the last commits is asked first, and the others in turn while a commit waits: both
@@ -207,6 +241,18 @@
         let group = request.group;
         let kind = request.kind;
         let is_open = session.open_transaction().is_some();
+        if self.may_log_request("answer_unproved", "no_evidence", client, now) {
+            let evidence = self.describe_evidence(client, now);
+            let Some(request) = self.client(client).and_then(|s| s.request.as_ref()) else {
+                return;
+            };
+            info!(
+                "answer_unproved id={} client={client} sent_to={} waited_ms={} {evidence}",
+                request.query.id,
+                request.sent_to,
+                now.since(request.sent_at).as_millis()
+            );
+        }
         self.groups[group.0].held.retain(|held| *held != client);
         match kind {
             RequestKind::Read if !is_open => {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,8 +4,10 @@
 //! target said that it did not run, it only read, or its transaction is rolled back because its commit
 //! was never sent and its connection is closed. A write or commit that may have run is in doubt.
 
-use log::debug;
+use log::Level;
 use log::info;
+use log::log;
+use log::log_enabled;
 
 use heatherhollow_types::FailureReason;
 use heatherhollow_types::MonoTime;
@@ -216,6 +218,7 @@
 
     /// Passes a successful answer on.
     pub(crate) fn deliver(&mut self, client: ClientId, answer: TargetAnswer, now: MonoTime) {
+        self.log_served(client, now);
         let Some(session) = self.client_mut(client) else {
             return;
         };
@@ -244,14 +247,6 @@
             session.position = session.position.max(answer.position);
             session.has_doubt = false;
         }
-        debug!(
-            "statement_served id={} client={client} database={} took_ms={} attempts={} primary={}",
-            request.query.id,
-            request.route.database,
-            now.since(request.received_at).as_millis(),
-            request.attempts,
-            request.is_at_primary
-        );
         self.statistics.served(request.is_at_primary);
         self.statistics
             .latency(LatencyKind::Statement, now.since(request.received_at));
@@ -266,6 +261,42 @@
         self.advance_client(client, now);
     }
 
+    /// Logs a success: at level `info` if its group's term changed since it was sent or its transaction
+    /// was begun, as such answers are few and depend on the evidence the most.
+    fn log_served(&mut self, client: ClientId, now: MonoTime) {
+        let Some(session) = self.client(client) else {
+            return;
+        };
+        let Some(request) = &session.request else {
+            return;
+        };
+        let term = self.groups[request.group.0].term;
+        let begun_in = session.open_transaction().and_then(|open| open.begun_in);
+        let is_across = request.term != term || begun_in.is_some_and(|begun_in| begun_in != term);
+        let level = if is_across && self.may_log(now) {
+            Level::Info
+        } else {
+            Level::Debug
+        };
+        if !log_enabled!(level) {
+            return;
+        }
+        let evidence = self.describe_evidence(client, now);
+        let Some(request) = self.client(client).and_then(|s| s.request.as_ref()) else {
+            return;
+        };
+        log!(
+            level,
+            "statement_served id={} client={client} database={} sent_to={} took_ms={} attempts={} \
+             {evidence}",
+            request.query.id,
+            request.route.database,
+            request.sent_to,
+            now.since(request.received_at).as_millis(),
+            request.attempts
+        );
+    }
+
     /// Handles an error of a target to a client's statement.
     pub(crate) fn fail_statement(
         &mut self,
