Learn a term from the positions that sessions and answers carry

What callers could see: a session whose home commits in term 2 and then fails reads through another home that still knows term 1. The read ran at the old primary and was delivered with evidence from before the promotion, which a bounded route accepts, so it missed the session's own commit.

Cause: only status reports started a term. The position of a forwarded session was compared with replicas, but the known primary counted as having every position, whatever its term.

Change: a position of a higher term, of a session or in an answer, starts that term; the old primary is then no primary any more.

forwarded_read_does_not_run_at_a_primary_older_than_its_session failed before: the read went to target 0 without a position.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -185,7 +185,19 @@
         match home {
             Some(home) => self.forward(client, home, now),
             None => {
-                self.groups[group.0].used_at = now;
+                // The session may have committed through an instance that knew a later term.
+                let position = session.position;
+                let state = &mut self.groups[group.0];
+                let known_term = state.term;
+                if let Some(position) = position
+                    && state.learn_term(position.term, now)
+                {
+                    info!(
+                        "term_seen group={} term={} previous={known_term} from=session",
+                        state.name, position.term
+                    );
+                }
+                state.used_at = now;
                 if let Some(request) = self.client_mut(client).and_then(|s| s.request.as_mut()) {
                     request.stage = RequestStage::Queued;
                     request.queue_place = QueuePlace::New;
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -372,6 +372,17 @@
         self.unproved_since = None;
     }
 
+    /// Takes a term that a target or a session has shown; true if it is higher than the known one, whose
+    /// primary does not lead any more.
+    pub fn learn_term(&mut self, term: TermNumber, now: MonoTime) -> bool {
+        if term <= self.term {
+            return false;
+        }
+        self.clear_primary(now);
+        self.start_term(term);
+        true
+    }
+
     /// Whether this instance sees too little of the group to serve from its primary, for so long that
     /// it is more likely cut off than waiting for a promotion. Another instance may see more.
     pub fn is_isolated(&self, limit: Duration, now: MonoTime) -> bool {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -30,6 +30,7 @@
 use crate::message::TargetAnswer;
 use crate::message::TargetCall;
 use crate::message::TargetCode;
+use crate::observe::target_name;
 use crate::session::AnswerProof;
 use crate::session::ClientRequest;
 use crate::session::RequestKind;
@@ -530,7 +531,19 @@
         let Some(position) = answer.position else {
             return;
         };
-        if is_primary && position.term <= state.term {
+        let known_term = state.term;
+        let is_primary = if state.learn_term(position.term, now) {
+            info!(
+                "term_seen group={} term={} previous={known_term} from={}",
+                state.name,
+                position.term,
+                target_name(state.lane(place.target))
+            );
+            false
+        } else {
+            is_primary
+        };
+        if is_primary {
             let term = state.term;
             state.tracker.observe_primary(sent_at, term, position);
             state.term_base.get_or_insert(position);
