Compare a commit with copies of its own term only

What callers could see: a commit of an old primary is acknowledged because a replica has later records of the next term, and is lost.

Cause: positions are ordered by term first, so any record of term 2 counted as a copy of any position of term 1, also of one that no promoted log has (its only copy may be at a target that is not listed).

Change: a position of another term than the group's has no copies. The answer is then held, and the commit ends in doubt.

write_of_an_old_primary_is_not_acknowledged failed before: the client got a success.

--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -246,16 +246,20 @@
     ///
     /// A target takes records before it is listed, and a promotion knows nothing of it; so the primary's
     /// word that some replica has a commit does not mean that the commit outlives a promotion.
+    ///
+    /// Positions of an earlier term are not compared: a later log need not contain them.
     pub fn is_copied(&self, position: GroupPosition, now: MonoTime) -> bool {
-        self.copy_holders(now).any(|(_, lane)| {
-            let has_it = |(_, report): (MonoTime, StatusReport)| {
-                report.term == self.term && report.received >= position
-            };
-            let has_shown_it = lane
-                .shown
-                .is_some_and(|shown| shown.term == self.term && shown >= position);
-            has_shown_it || lane.report.is_some_and(has_it)
-        })
+        let is_of_term = position.term == self.term;
+        is_of_term
+            && self.copy_holders(now).any(|(_, lane)| {
+                let has_it = |(_, report): (MonoTime, StatusReport)| {
+                    report.term == self.term && report.received >= position
+                };
+                let has_shown_it = lane
+                    .shown
+                    .is_some_and(|shown| shown.term == self.term && shown >= position);
+                has_shown_it || lane.report.is_some_and(has_it)
+            })
     }
 
     /// Replicas whose copy of a commit shows that it outlives a promotion: every instance knows them, and
--- a/crates/gateway/tests/terms.rs
+++ b/crates/gateway/tests/terms.rs
@@ -6,17 +6,42 @@
 mod desk;
 mod hand;
 
+use heatherhollow_gateway::ClientAnswer;
+use heatherhollow_gateway::ClientCode;
 use heatherhollow_gateway::ClientId;
 use heatherhollow_gateway::ClientQuery;
 use heatherhollow_gateway::ForwardedQuery;
 use heatherhollow_gateway::GatewayEvent;
+use heatherhollow_gateway::SessionState;
 use heatherhollow_gateway::Statement;
+use heatherhollow_gateway::TargetAnswer;
 use heatherhollow_gateway::TargetCall;
 use heatherhollow_gateway::TransactionPart;
 use heatherhollow_types::GroupPosition;
 
+use desk::success;
 use hand::HandDesk;
 use hand::catalog;
+use hand::code;
+
+/// An answer of target 0 with a commit that only it has.
+fn committed_in_term_1() -> TargetAnswer {
+    TargetAnswer {
+        position: Some(GroupPosition::new(1, 11)),
+        ..success("", "sig", SessionState::Idle)
+    }
+}
+
+/// Lets ticks pass until an answer comes, for up to three seconds.
+fn await_answer(desk: &mut HandDesk) -> Option<ClientAnswer> {
+    for _ in 0..150 {
+        if let Some(answer) = desk.answers.pop() {
+            return Some(answer);
+        }
+        desk.pass(20);
+    }
+    None
+}
 
 /// A read that another instance forwards.
 fn forwarded_read(position: GroupPosition) -> ForwardedQuery {
@@ -59,3 +84,18 @@
         "{call:?} went to target {target}"
     );
 }
+
+/// A commit of the old primary is not taken for copied because replicas have later records of term 2.
+#[test]
+fn write_of_an_old_primary_is_not_acknowledged() {
+    let mut desk = HandDesk::new("present");
+    assert_eq!(desk.send(Statement::Write), None);
+    assert_eq!(desk.waiting_target(), 0);
+    desk.targets.successor = Some(1);
+    for _ in 0..10 {
+        desk.pass(80);
+    }
+    let told = desk.answer(committed_in_term_1());
+    let told = told.or_else(|| await_answer(&mut desk));
+    assert_eq!(code(told), Some(ClientCode::InDoubt));
+}
