End transactions with writes that outlast their primary

What callers could see: a commit that is acknowledged by a replaced primary, and then lost.

Cause: a transaction of which a read had been proved fresh was allowed to go on at its target after another one led. That holds for reads, as their log stays fresh enough, but its writes and its commit went there as well.

Change: after such a change only reads go on, and a commit of a transaction that has not written. Others are rolled back, which is a true promise since the commit has not been sent.

transaction_does_not_commit_at_an_old_primary failed before: the commit went to target 0.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -170,7 +170,10 @@
         let in_transaction = connection.in_transaction;
         let leads = is_primary.then_some(term);
         let open = session.open_transaction().filter(|_| in_transaction);
-        if open.is_some_and(|open| open.is_outlasted(leads)) {
+        let kind = session.request.as_ref().map(|request| request.kind);
+        if let (Some(open), Some(kind)) = (open, kind)
+            && open.is_outlasted(leads, kind)
+        {
             if self.may_log_request("transaction_outlasted", "term_changed", client, now) {
                 let evidence = self.describe_evidence(client, now);
                 info!("transaction_outlasted client={client} target={target} {evidence}");
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -204,11 +204,18 @@
         }
     }
 
-    /// Whether it was begun at a primary that has been replaced since, before that was known to lead.
+    /// Whether it was begun at a primary that has been replaced since, and a statement cannot go on there.
     ///
-    /// No position was checked then, and no evidence of its term will come.
-    pub fn is_outlasted(&self, leads: Option<TermNumber>) -> bool {
-        !self.is_verified && self.begun_in.is_some() && self.begun_in != leads
+    /// No position was checked then, and no evidence of its term will come. Reads of a log that was shown
+    /// to be fresh stay so; a write there would be lost.
+    pub fn is_outlasted(&self, leads: Option<TermNumber>, kind: RequestKind) -> bool {
+        let is_replaced = self.begun_in.is_some() && self.begun_in != leads;
+        let is_reading = match kind {
+            RequestKind::Read => true,
+            RequestKind::Write => false,
+            RequestKind::Commit => !self.has_written,
+        };
+        is_replaced && !(self.is_verified && is_reading)
     }
 }
 
--- a/crates/gateway/tests/terms.rs
+++ b/crates/gateway/tests/terms.rs
@@ -20,6 +20,7 @@
 use heatherhollow_types::GroupPosition;
 
 use desk::success;
+use hand::BEGIN;
 use hand::HandDesk;
 use hand::catalog;
 use hand::code;
@@ -99,3 +100,26 @@
     let told = told.or_else(|| await_answer(&mut desk));
     assert_eq!(code(told), Some(ClientCode::InDoubt));
 }
+
+/// A transaction with writes does not commit at an old primary, also if one of its reads was proved
+/// fresh.
+#[test]
+fn transaction_does_not_commit_at_an_old_primary() {
+    let mut desk = HandDesk::new("present");
+    desk.send(BEGIN);
+    desk.send(Statement::Read);
+    let read = desk.answer(success("row", "sig", SessionState::Transaction));
+    assert!(read.is_some_and(|answer| answer.end.is_ok()));
+    desk.send(Statement::Write);
+    desk.answer(success("", "sig", SessionState::Transaction));
+    desk.targets.successor = Some(1);
+    for _ in 0..20 {
+        desk.pass(100);
+    }
+    let told = desk.send(Statement::Commit);
+    assert!(
+        desk.waiting.is_empty(),
+        "the commit went to the old primary"
+    );
+    assert_eq!(code(told), Some(ClientCode::Aborted));
+}
