Take evidence of leadership from established targets only

What callers could see: a read of the present state that is served by an old primary.

Cause: a replica that is not paused shows that no promotion was ordered, because each promotion pauses all targets that its instance knows. A target that was listed a moment ago may not be known to that instance; copies of commits were counted at established targets only, evidence was not.

new_target_is_no_evidence_of_leadership failed before: the read was answered with a row.

--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -530,7 +530,7 @@
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
 
 /// Whether all instances know a target. One whose entry lapses goes on counting, as it does in promotions.
-fn is_established(lane: &TargetLane, now: MonoTime) -> bool {
+pub(crate) fn is_established(lane: &TargetLane, now: MonoTime) -> bool {
     now.since(lane.listed_at) >= ESTABLISHED_AGE
 }
 
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -3,7 +3,8 @@
 //! Every promotion first pauses all targets of the group that can be reached, except a primary that has
 //! stepped down. A replica that reports the primary's term and no pause, when asked at some time, shows
 //! that no promotion had been ordered by then; so a read of the primary that began before that time saw
-//! every acknowledged commit. One answer serves all reads that began before it was asked for.
+//! every acknowledged commit. One answer serves all reads that began before it was asked for. A target that
+//! has just been listed is not asked: the instance that ordered a promotion may not know it yet.
 
 use log::info;
 
@@ -15,6 +16,7 @@
 use crate::core::ConnectionPlace;
 use crate::core::SessionGateway;
 use crate::group::GroupIndex;
+use crate::group::is_established;
 use crate::lane::CallPurpose;
 use crate::lane::ConnectionId;
 use crate::lane::ConnectionPhase;
@@ -139,7 +141,11 @@
                     );
                     state.clear_primary(now);
                 }
-                if is_current && report.paused_for.is_none() && state.primary.is_some() {
+                let is_witness = state
+                    .lane(target)
+                    .is_some_and(|lane| is_established(lane, now));
+                let is_unpaused = report.paused_for.is_none();
+                if is_current && is_unpaused && is_witness && state.primary.is_some() {
                     state.observe_lead(sent_at);
                     // A report without evidence leaves the check under way, so that the next one waits
                     // and goes to another replica.
@@ -221,6 +227,7 @@
                 (is_alone || Some(*i) != primary)
                     && !lane.is_unreachable()
                     && lane.paused_since.is_none()
+                    && is_established(lane, now)
             })
             .min_by_key(|(i, lane)| {
                 (
--- a/crates/gateway/tests/desk/mod.rs
+++ b/crates/gateway/tests/desk/mod.rs
@@ -54,6 +54,8 @@
     connections: Vec<(ConnectionId, usize)>,
     /// Target that leads term 2. Target 0 has not heard of it.
     pub successor: Option<usize>,
+    /// Targets that have not heard of it either.
+    pub unaware: Vec<usize>,
 }
 
 impl TargetTable {
@@ -95,6 +97,7 @@
         let row = match (call, target, self.successor) {
             (TargetCall::Status, 0, _) => "primary",
             (TargetCall::Status, _, None) => "replica",
+            (TargetCall::Status, _, _) if self.unaware.contains(&target) => "replica",
             (TargetCall::Status, _, Some(leader)) if leader == target => "successor",
             (TargetCall::Status, _, Some(_)) => "follower",
             _ => "",
--- a/crates/gateway/tests/terms.rs
+++ b/crates/gateway/tests/terms.rs
@@ -19,6 +19,7 @@
 use heatherhollow_gateway::TransactionPart;
 use heatherhollow_types::GroupPosition;
 
+use desk::entry;
 use desk::success;
 use hand::BEGIN;
 use hand::HandDesk;
@@ -44,6 +45,27 @@
     None
 }
 
+/// The entries of both replicas lapse and their targets are removed; one of them is promoted.
+fn unlist_replicas(desk: &mut HandDesk) {
+    for target in 1..3 {
+        desk.tell(GatewayEvent::TargetUnlisted(format!("t{target}")));
+    }
+    for _ in 0..40 {
+        desk.pass(100);
+    }
+    desk.targets.successor = Some(1);
+}
+
+/// What a client is told of a read that a target answers.
+fn told_of_read(desk: &mut HandDesk) -> Option<ClientAnswer> {
+    let told = desk.send(Statement::Read);
+    if desk.waiting.is_empty() {
+        return told;
+    }
+    let told = desk.answer(success("row", "sig", SessionState::Idle));
+    told.or_else(|| await_answer(desk))
+}
+
 /// A read that another instance forwards.
 fn forwarded_read(position: GroupPosition) -> ForwardedQuery {
     ForwardedQuery {
@@ -123,3 +145,15 @@
     );
     assert_eq!(code(told), Some(ClientCode::Aborted));
 }
+
+/// A target that has just been listed may be unknown to the instance that ordered a promotion, and so
+/// not have been paused: it does not show that the old primary leads.
+#[test]
+fn new_target_is_no_evidence_of_leadership() {
+    let mut desk = HandDesk::new("present");
+    unlist_replicas(&mut desk);
+    desk.targets.unaware = vec![3];
+    desk.tell(GatewayEvent::TargetListed(entry(3)));
+    desk.pass(20);
+    assert!(told_of_read(&mut desk).is_some_and(|answer| answer.end.is_err()));
+}
