Count a restarted target as newly listed

What callers could see: a commit that a promotion loses, or a read that an old primary serves.

Cause: a target's restart ends its pause. One that a promotion has paused and that restarts before the order takes effect reports the old term and no pause, vouches for the old primary and takes its records.

restarted_target_is_no_evidence_of_leadership failed before: the read was answered with a row.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -322,6 +322,10 @@
         let lane = state.lane_mut(target).expect("a found target has a lane");
         if is_reborn {
             lane.must_confirm = true;
+            // It has forgotten a pause that a promotion under way counts on.
+            if self.listed_since.is_some() {
+                lane.listed_at = now;
+            }
             lane.report = None;
             lane.shown = None;
             lane.open_after = now;
--- a/crates/gateway/tests/terms.rs
+++ b/crates/gateway/tests/terms.rs
@@ -16,6 +16,7 @@
 use heatherhollow_gateway::Statement;
 use heatherhollow_gateway::TargetAnswer;
 use heatherhollow_gateway::TargetCall;
+use heatherhollow_gateway::TargetEntry;
 use heatherhollow_gateway::TransactionPart;
 use heatherhollow_types::GroupPosition;
 
@@ -157,3 +158,23 @@
     desk.pass(20);
     assert!(told_of_read(&mut desk).is_some_and(|answer| answer.end.is_err()));
 }
+
+/// A target that has restarted forgot that a promotion had paused it: it does not show that the old
+/// primary leads.
+#[test]
+fn restarted_target_is_no_evidence_of_leadership() {
+    let mut desk = HandDesk::new("present");
+    desk.tell(GatewayEvent::TargetUnlisted("t2".to_string()));
+    for _ in 0..40 {
+        desk.pass(100);
+    }
+    desk.targets.successor = Some(2);
+    desk.targets.unaware = vec![1];
+    let restarted = TargetEntry {
+        born: 2,
+        ..entry(1)
+    };
+    desk.tell(GatewayEvent::TargetListed(restarted));
+    desk.pass(20);
+    assert!(told_of_read(&mut desk).is_some_and(|answer| answer.end.is_err()));
+}
