Show that a lone listed primary vouches for itself; list the test as red

What callers could see: a read of the present state that an old primary serves while its replicas are not listed here, although one of them is listed again elsewhere and promoted.

Tried: a target counts as alone only if none has vanished for 120 s. What is missing is a sign that the list of targets is current.

--- a/crates/gateway/tests/terms.rs
+++ b/crates/gateway/tests/terms.rs
@@ -147,6 +147,15 @@
     assert_eq!(code(told), Some(ClientCode::Aborted));
 }
 
+/// A primary whose replicas are not listed here may have been replaced by one of them: its own word does
+/// not show that it leads.
+#[test]
+fn primary_does_not_vouch_for_itself_while_replicas_are_unlisted() {
+    let mut desk = HandDesk::new("present");
+    unlist_replicas(&mut desk);
+    assert!(told_of_read(&mut desk).is_some_and(|answer| answer.end.is_err()));
+}
+
 /// A target that has just been listed may be unknown to the instance that ordered a promotion, and so
 /// not have been paused: it does not show that the old primary leads.
 #[test]
