Add up service rates without overflow

Cause: a statement that is answered within the resolution of the clock gives its target an unbounded rate, and adding up the rates of two such targets for the advice of a refusal overflowed: a panic in debug builds, a wrong advice otherwise. Found by a test of promotions in virtual time.

instant_answers_do_not_overflow_the_rate panicked before.

--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -89,7 +89,7 @@
         .targets()
         .filter(|(_, lane)| !lane.is_unreachable())
         .filter_map(|(_, lane)| lane.service_rate.best(now))
-        .sum::<usize>();
+        .fold(0, usize::saturating_add);
     if rate > 0 {
         time_for(state.queue.len() + 1, rate)
     } else {
--- a/crates/gateway/tests/statements.rs
+++ b/crates/gateway/tests/statements.rs
@@ -312,3 +312,22 @@
         "the hanging target got {hung} of 12 reads"
     );
 }
+
+/// Targets that answer within the resolution of the clock have an unbounded rate; adding up such rates for
+/// the advice of a refusal must not overflow.
+#[test]
+fn instant_answers_do_not_overflow_the_rate() {
+    let mut desk = HandDesk::new("own");
+    desk.send(Statement::Read);
+    assert_ne!(desk.waiting_target(), 0);
+    desk.answer(success("row", "sig", SessionState::Idle));
+    desk.send(Statement::Write);
+    assert_eq!(desk.waiting_target(), 0);
+    desk.answer(success("", "sig", SessionState::Idle));
+    desk.send(Statement::Read);
+    for _ in 0..60 {
+        desk.pass(20);
+    }
+    let answer = desk.answers.pop().expect("the time limit has passed");
+    assert!(answer.end.is_err());
+}
