End a promotion run whose group has changed its term meanwhile

Cause: a run that had surveyed term 1 waited for the duty while another instance promoted a target. When it got the duty it paused all targets, also the new primary; terms were compared only after that. And a survey that is answered only by targets that have not heard of the last term took the old term for the present one.

Change: the term is compared when the duty is granted and before the order, with the highest term that is known from any source.

--- a/crates/gateway/src/promotion.rs
+++ b/crates/gateway/src/promotion.rs
@@ -270,10 +270,16 @@
     }
 
     pub(crate) fn carry_out(&mut self, group: GroupIndex, now: MonoTime) {
-        let Some(run) = &self.groups[group.0].promotion else {
+        let state = &self.groups[group.0];
+        let Some(run) = &state.promotion else {
             return;
         };
         let fence = run.fence;
+        if run.plan != PromotionPlan::Resume && state.term > run.old_term {
+            // Another instance had the duty before; its successor leads.
+            self.end_promotion(group, "promoted_meanwhile", now);
+            return;
+        }
         match run.plan {
             PromotionPlan::Replace => self.pause_all(group, now),
             PromotionPlan::Change(primary) => {
@@ -419,6 +425,8 @@
             self.end_promotion(group, "no_target_answers", now);
             return;
         };
+        // The targets that answer may not have heard of the term of a primary that is gone.
+        let newest = newest.max(state.term);
         let leader = run
             .reports()
             .find(|(_, report)| report.role == TargetRole::Primary && report.term == newest);
--- a/crates/gateway/src/promotion_steps.rs
+++ b/crates/gateway/src/promotion_steps.rs
@@ -99,6 +99,7 @@
             .filter(|(_, report)| report.paused_for.is_some())
             .collect::<Vec<_>>();
         let newest = run.reports().map(|(_, report)| report.term).max();
+        let newest = newest.max(Some(state.term));
         if newest.is_some_and(|newest| newest > run.old_term && run.stepped_down.is_none()) {
             self.give_up(group, "promoted_meanwhile", now);
             return;
--- a/crates/gateway/tests/terms.rs
+++ b/crates/gateway/tests/terms.rs
@@ -6,10 +6,13 @@
 mod desk;
 mod hand;
 
+use std::time::Duration;
+
 use heatherhollow_gateway::ClientAnswer;
 use heatherhollow_gateway::ClientCode;
 use heatherhollow_gateway::ClientId;
 use heatherhollow_gateway::ClientQuery;
+use heatherhollow_gateway::DutyToken;
 use heatherhollow_gateway::ForwardedQuery;
 use heatherhollow_gateway::GatewayEvent;
 use heatherhollow_gateway::SessionState;
@@ -17,6 +20,7 @@
 use heatherhollow_gateway::TargetAnswer;
 use heatherhollow_gateway::TargetCall;
 use heatherhollow_gateway::TargetEntry;
+use heatherhollow_gateway::TargetState;
 use heatherhollow_gateway::TransactionPart;
 use heatherhollow_types::GroupPosition;
 
@@ -187,3 +191,34 @@
     desk.pass(20);
     assert!(told_of_read(&mut desk).is_some_and(|answer| answer.end.is_err()));
 }
+
+/// A run of a promotion that waits for the duty while another target comes to lead pauses nothing: the
+/// new primary would stop taking part.
+#[test]
+fn promotion_of_an_earlier_term_pauses_nothing() {
+    let mut desk = HandDesk::new("present");
+    let leaving = TargetEntry {
+        state: TargetState::Draining,
+        ..entry(0)
+    };
+    desk.tell(GatewayEvent::TargetListed(leaving));
+    for _ in 0..30 {
+        desk.pass(20);
+    }
+    desk.targets.successor = Some(1);
+    // The question for evidence of leadership shows term 2.
+    desk.send(Statement::Read);
+    desk.answer(success("row", "sig", SessionState::Idle));
+    desk.setup.clear();
+    let valid_until = desk.now + Duration::from_secs(3);
+    let token = DutyToken {
+        number: 1,
+        valid_until,
+    };
+    desk.tell(GatewayEvent::DutyAnswered(Ok(token)));
+    for _ in 0..60 {
+        desk.pass(20);
+    }
+    let is_pause = |call: &TargetCall| matches!(call, TargetCall::Pause(_));
+    assert!(!desk.setup.iter().any(is_pause), "{:?}", desk.setup);
+}
