--- a/crates/gateway/tests/hand/mod.rs
+++ b/crates/gateway/tests/hand/mod.rs
@@ -46,6 +46,8 @@
     pub setup: Vec<TargetCall>,
     /// Targets that were asked for their status.
     pub asked: Vec<usize>,
+    /// Whether the begin of a transaction waits for an answer by hand too.
+    pub holds_begin: bool,
 }
 
 pub const CLIENT: ClientId = ClientId(1);
@@ -67,6 +69,7 @@
             answers: Vec::new(),
             setup: Vec::new(),
             asked: Vec::new(),
+            holds_begin: false,
         };
         desk.tell(GatewayEvent::CatalogRead(catalog()));
         desk.tell(GatewayEvent::TargetsRead((0..3).map(entry).collect()));
@@ -112,6 +115,14 @@
                 self.waiting.push((connection, target, call));
                 None
             }
+            GatewayAction::CallTarget {
+                connection,
+                call: call @ TargetCall::Begin { .. },
+            } if self.holds_begin => {
+                let target = self.targets.target(connection);
+                self.waiting.push((connection, target, call));
+                None
+            }
             GatewayAction::AnswerClient { answer, .. } => {
                 self.answers.push(answer);
                 None
--- a/crates/gateway/tests/terms.rs
+++ b/crates/gateway/tests/terms.rs
@@ -20,6 +20,7 @@
 use heatherhollow_gateway::TargetAnswer;
 use heatherhollow_gateway::TargetCall;
 use heatherhollow_gateway::TargetEntry;
+use heatherhollow_gateway::TargetRole;
 use heatherhollow_gateway::TargetState;
 use heatherhollow_gateway::TransactionPart;
 use heatherhollow_types::GroupPosition;
@@ -222,3 +223,31 @@
     let is_pause = |call: &TargetCall| matches!(call, TargetCall::Pause(_));
     assert!(!desk.setup.iter().any(is_pause), "{:?}", desk.setup);
 }
+
+/// A transaction whose begin is on its way while another target comes to lead reads nothing at the old
+/// primary, which lacks commits of the new one; it begins anew.
+#[test]
+fn transaction_begins_anew_if_the_term_changes_during_its_begin() {
+    let mut desk = HandDesk::new("own");
+    desk.holds_begin = true;
+    desk.tell(GatewayEvent::TargetListed(TargetEntry {
+        state: TargetState::Draining,
+        ..entry(1)
+    }));
+    desk.tell(GatewayEvent::TargetListed(TargetEntry {
+        state: TargetState::Draining,
+        ..entry(2)
+    }));
+    desk.send(Statement::Begin { is_read_only: true });
+    desk.send(Statement::Read);
+    assert_eq!(desk.waiting_target(), 0);
+    desk.targets.successor = Some(1);
+    desk.tell(GatewayEvent::TargetListed(TargetEntry {
+        role: Some(TargetRole::Primary),
+        ..entry(1)
+    }));
+    desk.answer(success("", "-", SessionState::Transaction));
+    let (_, target, call) = desk.waiting.last().expect("the transaction begins anew");
+    assert_ne!(*target, 0);
+    assert!(matches!(call, TargetCall::Begin { .. }), "{call:?}");
+}
