Keep the positions of a session by group

Cause: a session kept one position for all groups. Found by review.

Change: a position belongs to a group, at the client's instance and at the home.

position_in_another_group_is_no_term_of_this_one failed before.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -196,7 +196,8 @@
         let evidence_from = session.evidence_from();
         let after = match (needs_position, evidence_from) {
             (true, Some(complete)) => {
-                let found = state.required_position(complete, session.position);
+                let own = session.position_in(place.group);
+                let found = state.required_position(complete, own);
                 if session.is_writing() || found.is_none() {
                     // The leadership changed since the connection was lent.
                     self.take_back(id, client, now);
@@ -416,7 +417,8 @@
         let state = &self.groups[request.group.0];
         let version = self.catalog.as_ref().map_or(0, |catalog| catalog.version);
         let complete = session.evidence_from().unwrap_or(now);
-        let required = state.required_position(complete, session.position);
+        let own = session.position_in(request.group);
+        let required = state.required_position(complete, own);
         let mut text = format!(
             "catalog={version} group={} term={} suspicion={:?} needs_primary={} required={}",
             state.name,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -65,7 +65,7 @@
     pub values: Vec<(String, String)>,
     /// What the statement executes, if it executes a prepared one.
     pub shape: Option<PreparedShape>,
-    /// Position of the session's last commit.
+    /// Position of the session's last commit in the route's group.
     pub position: Option<GroupPosition>,
     /// Whether a commit of the session may have taken effect unseen.
     pub has_doubt: bool,
@@ -186,7 +186,7 @@
             Some(home) => self.forward(client, home, now),
             None => {
                 // The session may have committed through an instance that knew a later term.
-                let position = session.position;
+                let position = session.position_in(group);
                 let state = &mut self.groups[group.0];
                 let known_term = state.term;
                 if let Some(position) = position
@@ -241,15 +241,17 @@
         request.sent_at = now;
         request.sent_to.clone_from(&home);
         request.attempts += 1;
+        let group = request.group;
+        let (asked, route) = (request.query.clone(), request.route.clone());
         let previous = session.last_home.replace(home.clone());
         let query = ForwardedQuery {
             serial,
-            query: request.query.clone(),
-            route: request.route.clone(),
+            query: asked,
+            route,
             part,
             shape,
             values: session.values.clone(),
-            position: session.position,
+            position: session.position_in(group),
             has_doubt: session.has_doubt,
         };
         if let Some(previous) = previous.filter(|previous| *previous != home) {
@@ -330,7 +332,7 @@
         session.request = None;
         match &answer.end {
             Ok(_) if is_written => {
-                session.position = session.position.max(answer.position);
+                session.note_position(group, answer.position);
                 session.has_doubt = false;
             }
             Err(error) if error.code == ClientCode::InDoubt => session.has_doubt = true,
@@ -440,7 +442,7 @@
         session.is_forwarded = true;
         session.database = Some(forwarded.route.database.clone());
         session.values = forwarded.values;
-        session.position = session.position.max(forwarded.position);
+        session.note_position(group, forwarded.position);
         session.has_doubt = forwarded.has_doubt;
         if let (Some(shape), crate::statement::Statement::Execute { name, .. }) =
             (forwarded.shape, &forwarded.query.statement)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -245,7 +245,7 @@
             _ => finished = connection_of(&request),
         }
         if is_written {
-            session.position = session.position.max(answer.position);
+            session.note_position(request.group, answer.position);
             session.has_doubt = false;
         }
         self.statistics.served(request.is_at_primary);
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -246,8 +246,9 @@
     pub values: Vec<(String, String)>,
     /// Prepared statements, sorted by name.
     pub prepared: Vec<(String, PreparedShape)>,
-    /// Position of its last commit.
-    pub position: Option<GroupPosition>,
+    /// Position of its last commit in each group, sorted by group. A route may move to another group, whose
+    /// terms and positions have nothing to do with those of the first.
+    positions: Vec<(GroupIndex, GroupPosition)>,
     /// Whether a commit of it may have taken effect unseen; its reads go to the primary.
     pub has_doubt: bool,
     pub transaction: SessionTransaction,
@@ -270,7 +271,7 @@
             waiting_start: None,
             values: Vec::new(),
             prepared: Vec::new(),
-            position: None,
+            positions: Vec::new(),
             has_doubt: false,
             transaction: SessionTransaction::None,
             request: None,
@@ -291,6 +292,21 @@
         }
     }
 
+    /// Position of its last commit in a group.
+    pub fn position_in(&self, group: GroupIndex) -> Option<GroupPosition> {
+        let found = self.positions.binary_search_by_key(&group, |(g, _)| *g);
+        found.ok().map(|i| self.positions[i].1)
+    }
+
+    /// Takes the position of a commit in a group; an earlier one than the known changes nothing.
+    pub fn note_position(&mut self, group: GroupIndex, position: Option<GroupPosition>) {
+        let Some(position) = position else { return };
+        match self.positions.binary_search_by_key(&group, |(g, _)| *g) {
+            Ok(i) => self.positions[i].1 = self.positions[i].1.max(position),
+            Err(i) => self.positions.insert(i, (group, position)),
+        }
+    }
+
     /// Sets a value.
     pub fn set_value(&mut self, name: String, value: String) {
         match self.values.binary_search_by(|(n, _)| n.cmp(&name)) {
--- a/crates/gateway/tests/desk/mod.rs
+++ b/crates/gateway/tests/desk/mod.rs
@@ -34,6 +34,8 @@
             "replica" => (TargetRole::Replica, 1, 10),
             "successor" => (TargetRole::Primary, 2, 20),
             "follower" => (TargetRole::Replica, 2, 20),
+            "stepped" => (TargetRole::Replica, 1, 11),
+            "ahead" => (TargetRole::Primary, 1, 11),
             _ => return None,
         };
         Some(StatusReport {
@@ -56,6 +58,12 @@
     pub successor: Option<usize>,
     /// Targets that have not heard of it either.
     pub unaware: Vec<usize>,
+    /// Target 0 has stepped down with record 11.
+    pub stepped: bool,
+    /// Target 0 has record 11, which no replica receives.
+    pub ahead: bool,
+    /// Calls to targets, in order.
+    pub told: Vec<(usize, TargetCall)>,
 }
 
 impl TargetTable {
@@ -83,10 +91,13 @@
                 self.open(*connection, *address);
                 Some(GatewayEvent::TargetOpened(*connection))
             }
-            GatewayAction::CallTarget { connection, call } => Some(GatewayEvent::TargetAnswered {
-                connection: *connection,
-                answer: self.answer(*connection, call),
-            }),
+            GatewayAction::CallTarget { connection, call } => {
+                self.told.push((self.target(*connection), call.clone()));
+                Some(GatewayEvent::TargetAnswered {
+                    connection: *connection,
+                    answer: self.answer(*connection, call),
+                })
+            }
             _ => None,
         }
     }
@@ -95,7 +106,9 @@
     fn answer(&self, connection: ConnectionId, call: &TargetCall) -> TargetAnswer {
         let target = self.target(connection);
         let row = match (call, target, self.successor) {
-            (TargetCall::Status, 0, _) => "primary",
+            (TargetCall::Status, 0, _) if self.stepped => "stepped",
+            (TargetCall::Status, 0, _) if self.ahead => "ahead",
+            (TargetCall::Status, 0 | 10, _) => "primary",
             (TargetCall::Status, _, None) => "replica",
             (TargetCall::Status, _, _) if self.unaware.contains(&target) => "replica",
             (TargetCall::Status, _, Some(leader)) if leader == target => "successor",
@@ -106,7 +119,14 @@
             TargetCall::Begin { .. } => SessionState::Transaction,
             _ => SessionState::Idle,
         };
-        success(row, "-", state)
+        let answer = success(row, "-", state);
+        match row {
+            "successor" | "follower" => TargetAnswer {
+                position: Some(GroupPosition::new(2, 20)),
+                ..answer
+            },
+            _ => answer,
+        }
     }
 }
 
--- a/crates/gateway/tests/terms.rs
+++ b/crates/gateway/tests/terms.rs
@@ -15,6 +15,7 @@
 use heatherhollow_gateway::DutyToken;
 use heatherhollow_gateway::ForwardedQuery;
 use heatherhollow_gateway::GatewayEvent;
+use heatherhollow_gateway::GroupRule;
 use heatherhollow_gateway::SessionState;
 use heatherhollow_gateway::Statement;
 use heatherhollow_gateway::TargetAnswer;
@@ -251,3 +252,55 @@
     assert_ne!(*target, 0);
     assert!(matches!(call, TargetCall::Begin { .. }), "{call:?}");
 }
+
+/// A session that committed in term 2 of one group reads in another group, in term 1, once its route leads
+/// there: the terms have nothing to do with each other, and the other group's primary is healthy.
+#[test]
+fn position_in_another_group_is_no_term_of_this_one() {
+    let mut desk = HandDesk::new("own");
+    let other = TargetEntry {
+        group: "other".to_string(),
+        ..entry(10)
+    };
+    desk.tell(GatewayEvent::TargetListed(other));
+    desk.targets.successor = Some(1);
+    for _ in 0..80 {
+        desk.pass(100);
+    }
+    assert_eq!(desk.send(Statement::Write), None);
+    assert_eq!(desk.waiting_target(), 1);
+    let committed = TargetAnswer {
+        position: Some(GroupPosition::new(2, 20)),
+        ..success("", "sig", SessionState::Idle)
+    };
+    let told = desk.answer(committed);
+    assert!(told.is_some_and(|answer| answer.end.is_ok()));
+    let mut changed = catalog();
+    changed.version = 2;
+    changed.groups.push(GroupRule {
+        group: "other".to_string(),
+        ..changed.groups[0].clone()
+    });
+    for route in &mut changed.routes {
+        route.group = "other".to_string();
+    }
+    desk.tell(GatewayEvent::CatalogRead(changed));
+    for _ in 0..5 {
+        desk.pass(100);
+    }
+    desk.targets.told.clear();
+    desk.send(Statement::Read);
+    for _ in 0..20 {
+        if desk.waiting.is_empty() {
+            desk.pass(20);
+        }
+    }
+    let is_deposed = |(target, call): &(usize, TargetCall)| {
+        *target == 10 && matches!(call, TargetCall::StepDown(_))
+    };
+    assert!(
+        !desk.targets.told.iter().any(is_deposed),
+        "the healthy primary of the other group was told to step down"
+    );
+    assert_eq!(desk.waiting_target(), 10);
+}
