Ask only the primary that was cut off to step down

Cause: a run that was considered because the primary of term 1 was cut off surveyed the targets, found the leader of term 2 and told that one to step down: its log is always a little ahead of its replicas.

Change: the cause counts only for the term that the run began in.

cut_off_primary_of_an_old_term_does_not_cost_the_new_one_its_lead failed before: target 1 got StepDown of term 3.

--- a/crates/gateway/src/promotion.rs
+++ b/crates/gateway/src/promotion.rs
@@ -434,6 +434,9 @@
         let fence = highest_pause.max().unwrap_or(newest).max(newest).next();
         let is_paused = run.reports().any(|(_, report)| report.paused_for.is_some());
         let is_forgotten = run.cause == PromotionCause::ForgottenPause && is_paused;
+        // That the replicas lack records says nothing of a primary that has come to lead since.
+        let is_same_term = newest == run.old_term;
+        let is_cut_off = is_same_term && run.cause == PromotionCause::CutOff;
         if let Some(run) = &mut self.groups[group.0].promotion {
             run.fence = fence;
             run.old_term = newest;
@@ -447,11 +450,7 @@
             return;
         };
         let state = &self.groups[group.0];
-        let is_cut_off = state
-            .promotion
-            .as_ref()
-            .is_some_and(|run| run.cause == PromotionCause::CutOff)
-            && state.ahead_since.is_some();
+        let is_cut_off = is_cut_off && state.ahead_since.is_some();
         let is_leaving = state.lane(leader).is_some_and(|lane| lane.is_leaving());
         if is_cut_off || (is_leaving && self.has_successor(group, leader)) {
             self.acquire_duty(group, PromotionPlan::Change(leader), now);
--- a/crates/gateway/tests/terms.rs
+++ b/crates/gateway/tests/terms.rs
@@ -25,6 +25,8 @@
 use heatherhollow_gateway::TargetState;
 use heatherhollow_gateway::TransactionPart;
 use heatherhollow_types::GroupPosition;
+use heatherhollow_types::MonoTime;
+use heatherhollow_types::TermNumber;
 
 use desk::entry;
 use desk::success;
@@ -304,3 +306,36 @@
     );
     assert_eq!(desk.waiting_target(), 10);
 }
+
+/// The primary of term 1 was cut off; the survey finds that another one leads term 2. That one is not cut
+/// off because its replicas have not followed it yet.
+#[test]
+fn cut_off_primary_of_an_old_term_does_not_cost_the_new_one_its_lead() {
+    let mut desk = HandDesk::new("present");
+    desk.send(Statement::Read);
+    desk.answer(success("row", "sig", SessionState::Idle));
+    desk.targets.ahead = true;
+    desk.pass(660);
+    for _ in 0..8 {
+        desk.pass(100);
+    }
+    desk.targets.told.clear();
+    desk.targets.successor = Some(1);
+    desk.targets.unaware = vec![2];
+    desk.pass(400);
+    let token = DutyToken {
+        number: 7,
+        valid_until: MonoTime::from_millis(60_000),
+    };
+    desk.tell(GatewayEvent::DutyAnswered(Ok(token)));
+    for _ in 0..5 {
+        desk.pass(20);
+    }
+    let is_deposed = |(target, call): &(usize, TargetCall)| {
+        *target == 1
+            && matches!(call, TargetCall::StepDown(term) | TargetCall::Pause(term)
+                if *term > TermNumber(2))
+    };
+    let deposed = desk.targets.told.iter().find(|told| is_deposed(told));
+    assert!(deposed.is_none(), "the primary of term 2 got {deposed:?}");
+}
