Do not count a primary that stepped down as a copy of its commits

What callers could see: an acknowledged commit that a promotion loses.

Cause: a primary that reports that it is a replica was taken for one, with the commit that it had just answered in its log, before another term was known.

Change: the target that led last holds no copies until another one leads.

primary_that_stepped_down_is_no_copy_of_its_commit failed before: the client got a success.

--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -263,10 +263,12 @@
     }
 
     /// Replicas whose copy of a commit shows that it outlives a promotion: every instance knows them, and
-    /// they stay; the log of a target that is leaving goes with it.
+    /// they stay; the log of a target that is leaving goes with it. A primary that stepped down is no copy of
+    /// its own commits.
     pub fn copy_holders(&self, now: MonoTime) -> impl Iterator<Item = (TargetIndex, &TargetLane)> {
         self.targets().filter(move |(i, lane)| {
-            Some(*i) != self.primary && is_established(lane, now) && !lane.is_leaving()
+            let has_led = Some(*i) == self.primary || Some(*i) == self.last_primary;
+            !has_led && is_established(lane, now) && !lane.is_leaving()
         })
     }
 
--- a/crates/gateway/tests/terms.rs
+++ b/crates/gateway/tests/terms.rs
@@ -307,6 +307,22 @@
     assert_eq!(desk.waiting_target(), 10);
 }
 
+/// A primary that has stepped down still has its own commit; it is no other copy of it.
+#[test]
+fn primary_that_stepped_down_is_no_copy_of_its_commit() {
+    let mut desk = HandDesk::new("present");
+    assert_eq!(desk.send(Statement::Write), None);
+    assert_eq!(desk.waiting_target(), 0);
+    let mut told = desk.answer(committed_in_term_1());
+    assert!(told.is_none(), "no replica has position 11");
+    desk.targets.stepped = true;
+    for _ in 0..100 {
+        desk.pass(20);
+        told = told.or_else(|| desk.answers.pop());
+    }
+    assert_eq!(code(told.clone()), Some(ClientCode::InDoubt), "{told:?}");
+}
+
 /// The primary of term 1 was cut off; the survey finds that another one leads term 2. That one is not cut
 /// off because its replicas have not followed it yet.
 #[test]
