Sample the primary only by calls made since it is known to lead

What callers could see: a stale read on a route that accepts an age.

Cause: an answer was taken for one of the primary by the role at its arrival. One that the target gave as a replica, delayed on its way, dated a position of the earlier term in the new one, and replicas were then asked for that position only.

Change: a call that was sent before the target became known as the primary gives no sample.

answer_of_a_replica_is_no_sample_of_the_primary_it_became failed before: a read asked for 10@1.

--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -40,6 +40,8 @@
     pub term_base: Option<GroupPosition>,
     /// The target that leads `term`, as far as it is known.
     pub primary: Option<TargetIndex>,
+    /// When `primary` became known to lead.
+    pub primary_since: MonoTime,
     /// The target that led last, while none is known to lead.
     pub last_primary: Option<TargetIndex>,
     pub leaderless_since: Option<MonoTime>,
@@ -99,6 +101,7 @@
             term: TermNumber(0),
             term_base: None,
             primary: None,
+            primary_since: now,
             last_primary: None,
             leaderless_since: Some(now),
             failover_time: None,
@@ -351,6 +354,7 @@
             self.failover_time = Some(now.since(since));
         }
         self.primary = Some(target);
+        self.primary_since = now;
         self.last_primary = Some(target);
         // What waits for a primary is considered at once.
         self.passed_at = MonoTime::ZERO;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -543,7 +543,8 @@
         } else {
             is_primary
         };
-        if is_primary {
+        // An answer to an earlier call may be that of the replica that it was.
+        if is_primary && sent_at >= state.primary_since {
             let term = state.term;
             state.tracker.observe_primary(sent_at, term, position);
             state.term_base.get_or_insert(position);
--- a/crates/gateway/tests/terms.rs
+++ b/crates/gateway/tests/terms.rs
@@ -355,3 +355,72 @@
     let deposed = desk.targets.told.iter().find(|told| is_deposed(told));
     assert!(deposed.is_none(), "the primary of term 2 got {deposed:?}");
 }
+
+/// What a target answered while it was a replica is no sample of the log of the primary that it became.
+#[test]
+fn answer_of_a_replica_is_no_sample_of_the_primary_it_became() {
+    let mut desk = HandDesk::new("own");
+    let read = |desk: &mut HandDesk, i: u64| {
+        let client = ClientId(i);
+        desk.tell(GatewayEvent::ClientOpened(client));
+        let database = "own".to_string();
+        desk.tell(GatewayEvent::ClientStart { client, database });
+        desk.tell(GatewayEvent::ClientQuery {
+            client,
+            query: ClientQuery {
+                id: format!("q{i}"),
+                text: "READ item".to_string(),
+                statement: Statement::Read,
+            },
+        });
+    };
+    for i in 2..12 {
+        read(&mut desk, i);
+    }
+    desk.pass(20);
+    let place = desk.waiting.iter().position(|(_, target, _)| *target == 1);
+    let (connection, _, _) = desk.waiting.remove(place.expect("a read is at target 1"));
+    desk.targets.successor = Some(1);
+    let leading = TargetEntry {
+        role: Some(TargetRole::Primary),
+        ..entry(1)
+    };
+    desk.tell(GatewayEvent::TargetListed(leading));
+    desk.pass(20);
+    desk.pass(20);
+    // Sent before target 1 was promoted, delayed on its way.
+    desk.tell(GatewayEvent::TargetAnswered {
+        connection,
+        answer: success("row", "sig", SessionState::Idle),
+    });
+    while let Some((connection, _, _)) = desk.waiting.pop() {
+        let answer = TargetAnswer {
+            position: None,
+            ..success("row", "sig", SessionState::Idle)
+        };
+        desk.tell(GatewayEvent::TargetAnswered { connection, answer });
+    }
+    for _ in 0..10 {
+        desk.pass(100);
+    }
+    desk.waiting.clear();
+    for i in 20..40 {
+        read(&mut desk, i);
+    }
+    for _ in 0..8 {
+        desk.pass(20);
+    }
+    for (_, target, call) in &desk.waiting {
+        if let TargetCall::Forward {
+            after: Some(after), ..
+        } = call
+        {
+            assert!(
+                *after >= GroupPosition::new(2, 20),
+                "a read at target {target} asks for {after} only"
+            );
+        }
+    }
+    let is_checked = |call: &TargetCall| matches!(call, TargetCall::Forward { after: Some(_), .. });
+    assert!(desk.waiting.iter().any(|(_, _, call)| is_checked(call)));
+}
