Count a target that restarted while unlisted as newly listed

Cause: a target that comes back after its entry vanished counted as known to all, also if it had restarted meanwhile and forgotten its pause.

target_that_restarted_while_unlisted_is_no_evidence failed before: the read was answered with a row.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -17,6 +17,7 @@
 use crate::catalog::TargetState;
 use crate::group::DatabaseGroup;
 use crate::group::GroupIndex;
+use crate::group::VanishedTarget;
 use crate::homes::HomeTable;
 use crate::lane::ConnectionId;
 use crate::lane::ControlPurpose;
@@ -273,8 +274,7 @@
     fn list_target(&mut self, entry: TargetEntry, now: MonoTime) {
         let group = self.group_index(&entry.group, now);
         let state = &mut self.groups[group.0];
-        let is_back = state.has_vanished(&entry.target);
-        state.note_vanished(&entry.target, false, now);
+        let is_back = state.take_back(&entry.target, entry.born);
         let Some(target) = state.find(&entry.target) else {
             // Thousands of targets may be listed at once, of which other lines give the number.
             if self.may_log(now) {
@@ -383,7 +383,13 @@
             self.close_lane(group, target, now);
             let state = &mut self.groups[group.0];
             if let Some(lane) = state.lanes[target.as_usize()].take() {
-                state.note_vanished(&lane.entry.target, !lane.is_leaving(), now);
+                if !lane.is_leaving() {
+                    state.vanished.push(VanishedTarget {
+                        target: lane.entry.target.clone(),
+                        born: lane.entry.born,
+                        removed_at: now,
+                    });
+                }
                 info!(
                     "target_removed group={} target={}",
                     state.name, lane.entry.target
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -25,6 +25,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct GroupIndex(pub usize);
 
+/// A target that was removed without its leaving.
+#[derive(Debug)]
+pub(crate) struct VanishedTarget {
+    pub target: String,
+    /// Start of its process.
+    pub born: u64,
+    pub removed_at: MonoTime,
+}
+
 /// A database group.
 #[derive(Debug)]
 pub(crate) struct DatabaseGroup {
@@ -77,8 +86,8 @@
     pub led_at: Option<MonoTime>,
     /// Greatest number of targets that were listed at once while none was being replaced.
     pub nominal_size: usize,
-    /// Targets that were removed without their leaving, and when.
-    pub vanished: Vec<(String, MonoTime)>,
+    /// Targets that were removed without their leaving.
+    pub vanished: Vec<VanishedTarget>,
     /// Instance that statements of this group are forwarded to; none if they are served here.
     pub remote_home: Option<String>,
     /// Homes that see too little of the group, each with the time until which they are left out.
@@ -237,7 +246,7 @@
         let vanished = self
             .vanished
             .iter()
-            .filter(|(_, at)| now.since(*at) <= VANISHED_MEMORY)
+            .filter(|gone| now.since(gone.removed_at) <= VANISHED_MEMORY)
             .count();
         (staying + vanished)
             .min(self.nominal_size)
@@ -283,17 +292,10 @@
         }
     }
 
-    /// Whether a target was removed without its leaving, a short while ago.
-    pub fn has_vanished(&self, target: &str) -> bool {
-        self.vanished.iter().any(|(known, _)| known == target)
-    }
-
-    /// Records that a target is listed or has been removed without its leaving.
-    pub fn note_vanished(&mut self, target: &str, is_vanished: bool, now: MonoTime) {
-        self.vanished.retain(|(known, _)| known != target);
-        if is_vanished {
-            self.vanished.push((target.to_string(), now));
-        }
+    /// Forgets that a target vanished, as it is listed again; tells whether it had, and has not restarted.
+    pub fn take_back(&mut self, target: &str, born: u64) -> bool {
+        let found = self.vanished.iter().position(|gone| gone.target == target);
+        found.is_some_and(|i| self.vanished.remove(i).born == born)
     }
 
     fn staying(&self) -> usize {
--- a/crates/gateway/tests/terms.rs
+++ b/crates/gateway/tests/terms.rs
@@ -323,6 +323,22 @@
     assert_eq!(code(told.clone()), Some(ClientCode::InDoubt), "{told:?}");
 }
 
+/// A target that restarted while it was not listed has forgotten its pause as well.
+#[test]
+fn target_that_restarted_while_unlisted_is_no_evidence() {
+    let mut desk = HandDesk::new("present");
+    unlist_replicas(&mut desk);
+    desk.targets.successor = Some(2);
+    desk.targets.unaware = vec![1];
+    let restarted = TargetEntry {
+        born: 2,
+        ..entry(1)
+    };
+    desk.tell(GatewayEvent::TargetListed(restarted));
+    desk.pass(20);
+    assert!(told_of_read(&mut desk).is_some_and(|answer| answer.end.is_err()));
+}
+
 /// The primary of term 1 was cut off; the survey finds that another one leads term 2. That one is not cut
 /// off because its replicas have not followed it yet.
 #[test]
