Do not take the wait for new targets for being cut off

Cause: evidence comes from targets that have been listed for 1.5 s; after 1 s without evidence an instance takes itself for cut off from the group. When all replicas had just been replaced or restarted it refused writes that the healthy primary could take.

Change: while reachable targets lack only their age, the time without evidence does not count.

restarted_replicas_do_not_stop_writes failed before: the write was refused.

--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -210,28 +210,26 @@
             state.unproved_since = None;
             return;
         }
-        state.unproved_since.get_or_insert(now);
-        if state.primary.is_none() {
-            return;
-        }
-        let failed = match state.check {
-            Some((_, at)) if now.since(at) < timeout => return,
-            Some((target, _)) => Some(target),
-            None => None,
-        };
         let primary = state.primary;
         let is_alone = state.targets().count() == 1;
-        let best = state
+        let witnesses = state
             .targets()
             .filter(|(i, lane)| {
                 (is_alone || Some(*i) != primary)
                     && !lane.is_unreachable()
                     && lane.paused_since.is_none()
-                    && is_established(lane, now)
             })
+            .collect::<Vec<_>>();
+        // The wait for targets that have just been listed is no sign of being cut off from the group.
+        let is_new = |(_, lane): &(TargetIndex, &TargetLane)| !is_established(lane, now);
+        let waits_for_new = !witnesses.is_empty() && witnesses.iter().all(is_new);
+        let asked = state.check.map(|(target, _)| target);
+        let best = witnesses
+            .into_iter()
+            .filter(|witness| !is_new(witness))
             .min_by_key(|(i, lane)| {
                 (
-                    Some(*i) == failed,
+                    Some(*i) == asked,
                     now < lane.rest_until,
                     lane.any_idle().is_none(),
                     self.identity.is_remote(&lane.entry.data_centre),
@@ -239,6 +237,15 @@
                 )
             })
             .map(|(i, _)| i);
+        if !waits_for_new {
+            state.unproved_since.get_or_insert(now);
+        }
+        let is_under_way = state
+            .check
+            .is_some_and(|(_, asked_at)| now.since(asked_at) < timeout);
+        if primary.is_none() || is_under_way {
+            return;
+        }
         if let Some(target) = best {
             state.check = Some((target, now));
             state.control(target, ControlPurpose::Observe, TargetCall::Status, now);
--- a/crates/gateway/tests/evidence.rs
+++ b/crates/gateway/tests/evidence.rs
@@ -8,6 +8,7 @@
 use heatherhollow_gateway::SessionState;
 use heatherhollow_gateway::Statement;
 use heatherhollow_gateway::TargetAnswer;
+use heatherhollow_gateway::TargetEntry;
 use heatherhollow_types::GroupPosition;
 
 use desk::entry;
@@ -126,3 +127,23 @@
     }
     assert_eq!(told.unwrap().end, Ok(Some("sig".to_string())));
 }
+
+/// Both replicas restart while the primary is healthy: writes to it go on.
+#[test]
+fn restarted_replicas_do_not_stop_writes() {
+    let mut desk = HandDesk::new("present");
+    for target in 1..3 {
+        desk.tell(GatewayEvent::TargetListed(TargetEntry {
+            born: 2,
+            ..entry(target)
+        }));
+    }
+    desk.send(Statement::Read);
+    desk.answer(success("row", "sig", SessionState::Idle));
+    for _ in 0..55 {
+        desk.pass(20);
+    }
+    desk.waiting.clear();
+    let told = desk.send(Statement::Write);
+    assert!(!desk.waiting.is_empty(), "the write was refused: {told:?}");
+}
