Try a refused level of calls in progress once in 30 calls

The limit now stops below the level that was refused last until 30 calls have been taken, and forgets that level once as many calls are taken. A counter by calls, not by time, so that the share is bounded at any rate.

--- a/crates/limits/src/adaptive.rs
+++ b/crates/limits/src/adaptive.rs
@@ -17,6 +17,9 @@
     pub decrease: f64,
     /// Time after a decrease in which further refusals count as answers to calls made before it.
     pub settle_time: Duration,
+    /// Calls that are taken before a limit that was refused is tried again. Refusals stay near one in
+    /// so many, and the limit of a target that has room again rises after so many.
+    pub calls_per_try: u32,
 }
 
 impl Default for AdaptiveSettings {
@@ -27,6 +30,7 @@
             ceiling: 64.0,
             decrease: 0.7,
             settle_time: Duration::from_millis(50),
+            calls_per_try: 30,
         }
     }
 }
@@ -35,6 +39,9 @@
 /// up, and falls by a part when one is refused for lack of room (additive increase, multiplicative
 /// decrease). Callers that share a target so come to equal shares without talking to each other.
 ///
+/// Where there is room for a few calls only, a rise in each round would be refused in each second one.
+/// So the limit stops below the one that was refused last, and tries that again only now and then.
+///
 /// ```
 /// use heatherhollow_limits::AdaptiveLimit;
 /// use heatherhollow_limits::AdaptiveSettings;
@@ -46,6 +53,10 @@
 /// for _ in 0..6 {
 ///     limit.taken(3);
 /// }
+/// assert!(limit.allows(2) && !limit.allows(3));
+/// for _ in 0..30 {
+///     limit.taken(3);
+/// }
 /// assert!(limit.allows(3));
 /// ```
 #[derive(Debug, Clone)]
@@ -53,6 +64,10 @@
     settings: AdaptiveSettings,
     limit: f64,
     decreased_at: Option<MonoTime>,
+    /// Calls in progress that were last refused, until as many are taken.
+    refused_level: Option<usize>,
+    /// Calls taken since then.
+    taken_since: u32,
 }
 
 impl AdaptiveLimit {
@@ -62,6 +77,8 @@
             limit: settings.initial.clamp(settings.floor, settings.ceiling),
             settings,
             decreased_at: None,
+            refused_level: None,
+            taken_since: 0,
         }
     }
 
@@ -77,8 +94,19 @@
 
     /// A call was taken, with so many in progress, itself included.
     pub fn taken(&mut self, in_progress: usize) {
-        if (in_progress as f64) + 1.0 > self.limit {
-            self.limit = (self.limit + 1.0 / self.limit).min(self.settings.ceiling);
+        self.taken_since = self.taken_since.saturating_add(1);
+        if self.refused_level.is_some_and(|level| in_progress >= level) {
+            self.refused_level = None;
+        }
+        if (in_progress as f64) + 1.0 <= self.limit {
+            return;
+        }
+        let risen = (self.limit + 1.0 / self.limit).min(self.settings.ceiling);
+        let is_refused = self
+            .refused_level
+            .is_some_and(|level| risen as usize >= level);
+        if !is_refused || self.taken_since >= self.settings.calls_per_try {
+            self.limit = risen;
         }
     }
 
@@ -88,6 +116,8 @@
             .decreased_at
             .is_none_or(|at| now.since(at) >= self.settings.settle_time);
         if is_settled {
+            self.refused_level = Some(self.value());
+            self.taken_since = 0;
             self.limit = (self.limit * self.settings.decrease).max(self.settings.floor);
             self.decreased_at = Some(now);
         }
