--- a/crates/gateway/tests/day/faults.rs
+++ b/crates/gateway/tests/day/faults.rs
@@ -10,6 +10,8 @@
 use super::Day;
 use super::Due;
 use super::TARGETS;
+use super::targets::QUEUE_LENGTH;
+use super::targets::SLOTS;
 
 /// What goes wrong; target 0 leads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,6 +26,8 @@
     Slow(usize),
     /// Nothing gets to the replicas or comes from them.
     SilentReplicas,
+    /// Other instances use all targets up but for a third of their slots.
+    Crowded,
 }
 
 /// Share of answers that are lost, as issue 15 names it.
@@ -56,6 +60,15 @@
 }
 
 impl FaultState {
+    /// Slots of a target that are left, and calls that may wait there.
+    pub fn room(&self) -> (usize, usize) {
+        if self.active.contains(&FaultKind::Crowded) {
+            (SLOTS / 3, 0)
+        } else {
+            (SLOTS, QUEUE_LENGTH)
+        }
+    }
+
     pub fn is_lagging(&self, target: usize) -> bool {
         self.active.contains(&FaultKind::LagAndLoss) && target != 0
     }
@@ -93,6 +106,9 @@
     /// Ends the faults; what waited for that happens now.
     pub(super) fn end_fault(&mut self) {
         let ended = std::mem::take(&mut self.fault);
+        for target in 0..TARGETS {
+            self.fill_slots(target);
+        }
         for target in 1..TARGETS {
             let (received, applied) = (ended.unreceived[target], ended.unapplied[target]);
             self.after(Duration::ZERO, Due::Receive(target, received));
--- a/crates/gateway/tests/day/targets.rs
+++ b/crates/gateway/tests/day/targets.rs
@@ -36,7 +36,7 @@
 
 /// Calls that wait at a target for a slot before it answers `BUSY`: one round of its slots, so that a
 /// queue of its own hides little of an overload from the gateway.
-const QUEUE_LENGTH: usize = 3;
+pub(super) const QUEUE_LENGTH: usize = 3;
 
 /// Work of a new connection, as on the site sheets.
 const START_WORK: Duration = Duration::from_millis(12);
@@ -189,7 +189,8 @@
         }
         let state = &mut self.targets[target];
         let link = state.links.get_mut(&connection).expect("a known link");
-        let is_full = state.running >= SLOTS && state.waiting.len() >= QUEUE_LENGTH;
+        let (slots, length) = self.fault.room();
+        let is_full = state.running >= slots && state.waiting.len() >= length;
         match &call {
             TargetCall::Begin { is_read_only, .. } => {
                 link.state = SessionState::Transaction;
@@ -261,8 +262,8 @@
         self.fill_slots(target);
     }
 
-    fn fill_slots(&mut self, target: usize) {
-        while self.targets[target].running < SLOTS {
+    pub(super) fn fill_slots(&mut self, target: usize) {
+        while self.targets[target].running < self.fault.room().0 {
             let state = &mut self.targets[target];
             let Some(connection) = state.waiting.pop_front() else {
                 return;
--- a/crates/gateway/tests/overload.rs
+++ b/crates/gateway/tests/overload.rs
@@ -160,6 +160,12 @@
     assert_full_rate(RECOVERY_SECONDS, |_| options(&[FaultKind::SilentReplicas]));
 }
 
+/// Other instances leave little room at the targets.
+#[test]
+fn crowded_targets_leave_full_rate() {
+    assert_full_rate(RECOVERY_SECONDS, |_| options(&[FaultKind::Crowded]));
+}
+
 /// Up to three faults at once.
 #[test]
 fn mixed_faults_leave_full_rate() {
