Play long transactions and judge each answer by its run

Change: each run at a target has its own signature. A success must carry that of a run of the statement with its rows; its read must have been fresh then, whatever becomes of the transaction, and a transaction must stay on one connection.

--- /dev/null
+++ b/crates/gateway/tests/support/checks.rs
@@ -0,0 +1,242 @@
+//! Checks of the played world: what a target runs, what a client is told, and the final log.
+//!
+//! Each run of a statement at a target has a signature of its own, so an answer is judged by the very
+//! run that it comes from, whatever becomes of its transaction later.
+
+use std::time::Duration;
+
+use heatherhollow_gateway::ClientAnswer;
+use heatherhollow_gateway::ConnectionId;
+use heatherhollow_gateway::Statement;
+use heatherhollow_types::MonoTime;
+
+use super::MAX_AGE;
+use super::OWN_ROUTE;
+use super::PRIMARY_ROUTE;
+use super::World;
+use super::WriteOutcome;
+
+/// Time after a disruption of an instance for which it may still reach an old primary.
+const THAW_SLACK: Duration = Duration::from_millis(300);
+
+/// A run of a statement at a target.
+#[derive(Debug, Clone)]
+pub(super) struct StatementRun {
+    query: String,
+    rows: Vec<String>,
+    /// Instance and connection that it ran on.
+    place: (usize, ConnectionId),
+    /// A commit that its read should have found and did not, and where.
+    missing: Option<String>,
+}
+
+impl World {
+    /// Records a run that succeeded, and gives it a signature.
+    pub(super) fn note_run(
+        &mut self,
+        instance: usize,
+        id: ConnectionId,
+        query: &str,
+        rows: &[String],
+        missing: Option<String>,
+    ) -> String {
+        let signature = format!("sig-{}", self.runs.len());
+        let run = StatementRun {
+            query: query.to_string(),
+            rows: rows.to_vec(),
+            place: (instance, id),
+            missing,
+        };
+        self.runs.insert(signature.clone(), run);
+        signature
+    }
+
+    /// Whether an instance was frozen or on a cut link a short while ago.
+    fn is_disrupted(&self, instance: usize) -> bool {
+        let is_cut = self.cuts.iter().any(|(a, _)| *a == instance);
+        let ended = self.disrupted_at[instance].max(self.frozen_until[instance]);
+        is_cut || self.now < ended + THAW_SLACK
+    }
+
+    /// Records that a target is about to put a record of writes, sent by an instance, at the end of its log.
+    pub(super) fn note_record(&mut self, instance: usize, target: usize, ids: &[String]) {
+        let is_excused = self.is_disrupted(instance);
+        let state = &self.targets[target];
+        for id in ids {
+            let places = self.places.entry(id.clone()).or_default();
+            places.push(state.log.len());
+            if state.term < self.group_term {
+                let text = format!(
+                    "write {id} was acknowledged though {} of term {} recorded it in term {}",
+                    state.name, state.term, self.group_term
+                );
+                self.late_writes.insert(id.clone(), (text, is_excused));
+            }
+        }
+    }
+
+    /// An acknowledged write was not recorded by an old primary once another had replaced it.
+    pub(super) fn check_acknowledged(&mut self, write: &str) {
+        match self.late_writes.get(write) {
+            Some((text, true)) => self.excused.push(text.clone()),
+            Some((text, false)) => self.violations.push(text.clone()),
+            None => {}
+        }
+    }
+
+    /// A success comes from a run of the statement, with its rows; a read that it answers was fresh, and a
+    /// transaction stays on one connection.
+    pub(super) fn check_answer(
+        &mut self,
+        client: usize,
+        query: &str,
+        statement: &Statement,
+        answer: &ClientAnswer,
+    ) {
+        let Ok(signature) = &answer.end else {
+            return;
+        };
+        let was_open = self.clients[client].in_transaction;
+        if !was_open {
+            self.clients[client].pinned = None;
+        }
+        let needs_run = matches!(
+            statement,
+            Statement::Read | Statement::Write | Statement::Commit | Statement::Execute { .. }
+        );
+        if !needs_run {
+            return;
+        }
+        let run = signature.as_ref().and_then(|known| self.runs.get(known));
+        let Some(run) = run.filter(|run| run.query == query && run.rows == answer.rows) else {
+            self.violations
+                .push(format!("statement {query} was answered without a run"));
+            return;
+        };
+        if let Some(missing) = &run.missing {
+            self.violations
+                .push(format!("stale read {query} was answered: {missing}"));
+        }
+        let pinned = &mut self.clients[client].pinned;
+        if was_open && pinned.is_some_and(|place| place != run.place) {
+            self.violations
+                .push(format!("statement {query} ran on another connection"));
+        }
+        *pinned = was_open.then_some(run.place);
+    }
+
+    pub(super) fn check_shape(&mut self, query: &str, is_write: bool, shape: &str) {
+        let Some((client, name)) = self.clients.iter().find_map(|client| {
+            let (id, statement) = client.outstanding.as_ref()?;
+            match statement {
+                Statement::Execute { name, .. } if id == query => Some((client, name)),
+                _ => None,
+            }
+        }) else {
+            return;
+        };
+        let known = &client.prepared[name];
+        if known.is_write != is_write || known.text != shape {
+            self.violations
+                .push(format!("statement {query} ran another shape"));
+        }
+    }
+
+    /// A statement runs with the values that were acknowledged to its client.
+    pub(super) fn check_session(
+        &mut self,
+        instance: usize,
+        id: ConnectionId,
+        target: usize,
+        query: &str,
+    ) {
+        let found = self.clients.iter().find(|client| {
+            let outstanding = client.outstanding.as_ref();
+            outstanding.is_some_and(|(id, _)| id == query)
+        });
+        let Some(client) = found else {
+            // A home or an exact target may run a statement that its client's instance has given up
+            // meanwhile; what the client was told of it is checked at the end.
+            if !self.options.has_homes && !self.options.is_exact {
+                self.violations
+                    .push(format!("statement {query} has no client that waits"));
+            }
+            return;
+        };
+        let mut values = client.values.clone();
+        values.sort();
+        let in_transaction = client.in_transaction;
+        let Some(connection) = self.targets[target].find(instance, id) else {
+            return;
+        };
+        if connection.values != values {
+            self.violations.push(format!(
+                "statement {query} ran with values of another session"
+            ));
+        }
+        if connection.in_transaction != in_transaction {
+            self.violations
+                .push(format!("statement {query} ran outside its transaction"));
+        }
+    }
+
+    /// A commit that the read's route asks for and that the log that it runs on lacks.
+    pub(super) fn missing_commit(&self, target: usize, query: &str) -> Option<String> {
+        let (client, began_at, route) = self.readers.get(query).copied()?;
+        let until = match route {
+            PRIMARY_ROUTE => began_at,
+            _ => MonoTime::from_micros(
+                began_at
+                    .as_micros()
+                    .saturating_sub(MAX_AGE.as_micros() as u64),
+            ),
+        };
+        let state = &self.targets[target];
+        let seen = &state.log[..state.applied];
+        let has = |id: &String| {
+            let mut places = self.places.get(id).into_iter().flatten();
+            places.any(|at| seen.get(*at).is_some_and(|record| record.ids.contains(id)))
+        };
+        let early = self.acknowledged.iter().take_while(|(at, _)| *at < until);
+        let own = self.clients[client].own_commits.iter();
+        let own = own.filter(|_| route == OWN_ROUTE);
+        let missing = early.map(|(_, id)| id).chain(own).find(|id| !has(id))?;
+        Some(format!(
+            "{missing} is not in the log of {} of term {}, sent by {}",
+            state.name, state.term, self.clients[client].instance
+        ))
+    }
+
+    pub(super) fn check_final(&mut self) {
+        let Some(leader) = self
+            .targets
+            .iter()
+            .filter(|target| target.is_primary && target.is_alive)
+            .max_by_key(|target| target.term)
+        else {
+            return;
+        };
+        let count = |id: &str| {
+            let all = leader.log.iter().flat_map(|record| &record.ids);
+            all.filter(|known| *known == id).count()
+        };
+        for (id, outcome) in &self.writes {
+            let found = count(id);
+            if found > 1 {
+                self.violations
+                    .push(format!("write {id} took effect twice"));
+            }
+            match outcome {
+                WriteOutcome::Acknowledged if found == 0 => {
+                    self.violations
+                        .push(format!("acknowledged write {id} is lost"));
+                }
+                WriteOutcome::NotKept if found > 0 => {
+                    self.violations
+                        .push(format!("write {id} is kept in spite of a promise"));
+                }
+                _ => {}
+            }
+        }
+    }
+}
--- a/crates/gateway/tests/support/faults.rs
+++ b/crates/gateway/tests/support/faults.rs
@@ -68,4 +68,27 @@
             }
         }
     }
+
+    /// A target and, some time later, an instance are split from the other instances and targets; the
+    /// instance gets back first or last. A
+    /// promotion meanwhile escapes the instance, which finds the old primary at work when it is back.
+    pub(super) fn add_staged_split(&mut self) {
+        let at = self.random.random_range(3_000..7_500);
+        let target = self.random.random_range(0..3);
+        let instances = self.options.instances;
+        let beside = self.random.random_range(0..instances);
+        let later = at + self.random.random_range(600..1_600);
+        let ends = later + self.random.random_range(300..2_500);
+        let early_end = later + self.random.random_range(300..1_200);
+        let others = (0..instances + 3)
+            .filter(|node| *node != beside && *node != instances + target)
+            .collect::<Vec<_>>();
+        for other in others {
+            let node = instances + target;
+            self.schedule(at, Happening::Cut(node, other, true));
+            self.schedule(ends, Happening::Cut(node, other, false));
+            self.schedule(later, Happening::Cut(beside, other, true));
+            self.schedule(early_end, Happening::Cut(beside, other, false));
+        }
+    }
 }
--- a/crates/gateway/tests/support/listing.rs
+++ b/crates/gateway/tests/support/listing.rs
@@ -69,7 +69,7 @@
             } else {
                 TargetRole::Replica
             }),
-            born: 1,
+            born: state.born,
         }
     }
 
