Check that service is back after faults

Cause: nothing in the tests noticed what stays behind after the faults, such as pauses, duties or lent connections.

Change: the played world records refusals and when it was last disturbed.

That the test fails on a broken variant was not run.

--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -136,6 +136,8 @@
     plan: Vec<(String, Statement)>,
     outstanding: Option<(String, Statement)>,
     began_at: MonoTime,
+    /// When the outstanding statement was sent.
+    sent_at: MonoTime,
     in_transaction: bool,
     writes: Vec<String>,
     values: Vec<(String, String)>,
@@ -204,6 +206,10 @@
     pub violations: Vec<String>,
     /// Late commits that the rules do not count, since the instance was disrupted.
     pub excused: Vec<String>,
+    /// When the last fault began or ended.
+    pub disturbed_at: MonoTime,
+    /// Refusals and failures that clients were told, and when.
+    pub refusals: Vec<(MonoTime, String)>,
     pub served: usize,
     pub refused: usize,
     pub promotions: usize,
@@ -251,6 +257,8 @@
             readers: BTreeMap::new(),
             violations: Vec::new(),
             excused: Vec::new(),
+            disturbed_at: MonoTime::ZERO,
+            refusals: Vec::new(),
             served: 0,
             refused: 0,
             promotions: 0,
@@ -355,6 +363,14 @@
     }
 
     fn play(&mut self, happening: Happening) {
+        match &happening {
+            Happening::Freeze(_, until) => self.disturbed_at = self.disturbed_at.max(*until),
+            Happening::Cut(..)
+            | Happening::Crash(..)
+            | Happening::SetLag(..)
+            | Happening::Unlist(..) => self.disturbed_at = self.disturbed_at.max(self.now),
+            _ => {}
+        }
         match happening {
             Happening::Instance(instance, event) => self.run_instance(instance, event),
             Happening::Opened(instance, id, target) => self.accept(instance, id, target),
--- a/crates/gateway/tests/support/playing.rs
+++ b/crates/gateway/tests/support/playing.rs
@@ -1,6 +1,7 @@
 //! Clients of the played world, and the comparison of what they were told with the final log.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use rand::RngExt;
 
@@ -30,6 +31,7 @@
             plan: Vec::new(),
             outstanding: None,
             began_at: self.now,
+            sent_at: self.now,
             in_transaction: false,
             writes: Vec::new(),
             values: Vec::new(),
@@ -91,6 +93,7 @@
         self.readers.insert(id.clone(), (i, began_at, route));
         let client = &mut self.clients[i];
         client.outstanding = Some((id.clone(), statement.clone()));
+        client.sent_at = now;
         let (instance, client_id) = (client.instance, client.id);
         let query = ClientQuery {
             id,
@@ -151,6 +154,7 @@
             Err(error) => {
                 let code = &error.code;
                 self.refused += 1;
+                self.refusals.push((now, format!("{query}: {code:?}")));
                 let outcome = match code {
                     ClientCode::Busy
                     | ClientCode::Aborted
@@ -174,4 +178,14 @@
         let pause = self.pause_after(i);
         self.schedule(pause, Happening::ClientStep(i));
     }
+
+    /// Statements that have waited for an answer for that long.
+    pub fn unanswered(&self, wait: Duration) -> Vec<String> {
+        let late = self
+            .clients
+            .iter()
+            .filter(|client| self.now.since(client.sent_at) >= wait);
+        late.filter_map(|client| Some(client.outstanding.as_ref()?.0.clone()))
+            .collect()
+    }
 }
