Free the connection of a commit that ends in doubt

Cause: a commit whose answer is held for a copy keeps the connection of its transaction; when it ended in doubt nothing gave that back.

connection_of_a_commit_in_doubt_serves_again failed before: the next write opened another connection.

--- a/crates/gateway/src/losses.rs
+++ b/crates/gateway/src/losses.rs
@@ -199,10 +199,17 @@
             return;
         };
         session.has_doubt = true;
-        session.transaction = SessionTransaction::None;
+        let transaction = std::mem::take(&mut session.transaction);
         let Some(request) = session.request.take() else {
             return;
         };
+        // The target answered a commit that is held; other connections have been closed before.
+        let answered = match (transaction, request.stage) {
+            (SessionTransaction::Open(open), RequestStage::Held { answer, .. }) => {
+                open.connection.map(|connection| (connection, answer.state))
+            }
+            _ => None,
+        };
         if may_log {
             info!(
                 "statement_in_doubt id={} client={client} reason={reason} took_ms={} sent_to={} \
@@ -213,6 +220,9 @@
                 request.term
             );
         }
+        if let Some((connection, state)) = answered {
+            self.release_or_close(connection, state, now);
+        }
         let text = "the outcome is not known";
         self.refuse_locally(client, ClientCode::InDoubt, text);
         self.advance_client(client, now);
--- a/crates/gateway/tests/evidence.rs
+++ b/crates/gateway/tests/evidence.rs
@@ -147,3 +147,26 @@
     let told = desk.send(Statement::Write);
     assert!(!desk.waiting.is_empty(), "the write was refused: {told:?}");
 }
+
+/// A commit in a transaction whose copy does not show ends in doubt; its connection serves again, and what
+/// happens to it later is no matter of the client any more.
+#[test]
+fn connection_of_a_commit_in_doubt_serves_again() {
+    let mut desk = HandDesk::new("present");
+    desk.send(BEGIN);
+    desk.send(Statement::Write);
+    desk.answer(success("", "sig", SessionState::Transaction));
+    desk.send(Statement::Commit);
+    let (connection, target, _) = desk.waiting.last().expect("the commit was sent").clone();
+    assert_eq!(target, 0);
+    // The replicas report position 10.
+    let mut told = desk.answer(committed_at(11));
+    for _ in 0..60 {
+        desk.pass(20);
+        told = told.or_else(|| desk.answers.pop());
+    }
+    assert_eq!(code(told), Some(ClientCode::InDoubt));
+    desk.send(Statement::Write);
+    let (next, _, _) = desk.waiting.last().expect("a write was sent");
+    assert_eq!(*next, connection);
+}
