Bound the groups that stand-ins observe

Cause: an instance for which other homes of its data centre are left out stood in for their groups, and observed all of them with a connection to each target.

Change: of groups that its clients do not use, an instance observes those for which it is among the first three in rank, those left out included.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -17,6 +17,7 @@
 use crate::catalog::TargetState;
 use crate::group::DatabaseGroup;
 use crate::group::GroupIndex;
+use crate::group::RECENT_USE;
 use crate::group::VanishedTarget;
 use crate::homes::HomeTable;
 use crate::lane::ConnectionId;
@@ -213,7 +214,7 @@
         self.choose_homes(now, false);
         self.ask_lost_homes(now);
         for i in 0..self.groups.len() {
-            if !self.is_observer(GroupIndex(i), now) {
+            if !self.observes(GroupIndex(i), now) {
                 if now.since(self.groups[i].rested_at) >= REST_INTERVAL {
                     self.groups[i].rested_at = now;
                     self.rest_group(GroupIndex(i), now);
@@ -225,6 +226,19 @@
         }
     }
 
+    /// Whether the instance observes a group: its clients use it, or it is its home by rank and not only
+    /// since others are left out.
+    fn observes(&mut self, group: GroupIndex, now: MonoTime) -> bool {
+        if !self.is_observer(group, now) {
+            return false;
+        }
+        let state = &self.groups[group.0];
+        let is_used = now.since(state.used_at) < RECENT_USE;
+        let is_shared = state.is_scarce(self.instances);
+        let (name, data_centre) = (&self.identity.name, &self.identity.data_centre);
+        is_used || !is_shared || self.homes.is_among_first(name, &state.name, data_centre)
+    }
+
     fn apply_catalog(&mut self, catalog: Catalog, now: MonoTime) {
         let known = self.catalog.as_ref().map(|catalog| catalog.version);
         if known.is_some_and(|known| known >= catalog.version) {
--- a/crates/gateway/src/homes.rs
+++ b/crates/gateway/src/homes.rs
@@ -6,6 +6,10 @@
 //! instance forwards statements to the home; one that receives a forwarded statement always serves it
 //! itself, so differing views cannot make a loop.
 //!
+//! While homes are left out, the next instances in rank stand in for them. An instance for which most
+//! others are left out stands in for most groups; it observes those that its clients use, and the few of
+//! which it is among the first in rank.
+//!
 //! Load that this answers: more instances than connections of a target, and observation that grows
 //! with data centres instead of instances.
 
@@ -52,6 +56,9 @@
     /// Sorted by instance; includes this one.
     peers: Vec<KnownPeer>,
     avoided: Vec<AvoidedPeer>,
+    /// Groups for which it is known whether an instance is among the first, sorted by name; none of them
+    /// after the known instances changed.
+    firsts: Vec<(String, bool)>,
 }
 
 impl HomeTable {
@@ -66,6 +73,7 @@
         data_centre: &DataCentre,
         now: MonoTime,
     ) -> bool {
+        self.firsts.clear();
         let mut is_changed = false;
         for known in &mut self.peers {
             known.unlisted_since.get_or_insert(now);
@@ -104,7 +112,11 @@
             let unlisted = known.unlisted_since;
             unlisted.is_none_or(|since| now.since(since) < PEER_MEMORY)
         });
-        self.peers.len() < count
+        let is_changed = self.peers.len() < count;
+        if is_changed {
+            self.firsts.clear();
+        }
+        is_changed
     }
 
     /// Instances that are left out and have to be asked now whether they answer again.
@@ -156,6 +168,7 @@
         match self.find(instance) {
             Ok(i) if self.peers[i].unlisted_since.is_some() => {
                 self.peers.remove(i);
+                self.firsts.clear();
             }
             _ => self.avoided.push(AvoidedPeer {
                 instance: instance.to_string(),
@@ -171,6 +184,38 @@
         found.ok().map(|i| self.peers[i].entry.address)
     }
 
+    /// Whether an instance is among the first in rank for a group in its data centre, those that are left
+    /// out included; also if nobody is known there.
+    pub fn is_among_first(
+        &mut self,
+        instance: &str,
+        group: &str,
+        data_centre: &DataCentre,
+    ) -> bool {
+        let found = self
+            .firsts
+            .binary_search_by(|(known, _)| known.as_str().cmp(group));
+        match found {
+            Ok(i) => self.firsts[i].1,
+            Err(i) => {
+                let is_first = self.find_among_first(instance, group, data_centre);
+                self.firsts.insert(i, (group.to_string(), is_first));
+                is_first
+            }
+        }
+    }
+
+    fn find_among_first(&self, instance: &str, group: &str, data_centre: &DataCentre) -> bool {
+        let peers = self.peers.iter().map(|known| &known.entry);
+        let near = peers.filter(|peer| peer.data_centre == *data_centre);
+        let Ok(own) = self.find(instance) else {
+            return near.count() == 0;
+        };
+        let own_rank = rank(&self.peers[own].entry, group);
+        let before = near.filter(|peer| rank(peer, group) < own_rank);
+        before.count() < MAX_STAND_INS
+    }
+
     /// The home of a group among the known instances of a data centre, without those in `isolated` as
     /// long as others are left.
     pub fn home(
@@ -198,6 +243,10 @@
 /// come back after an outage of the store.
 const PEER_MEMORY: Duration = Duration::from_secs(15);
 
+/// Instances that observe a group that they do not serve: its home, and as many more as may be left out as
+/// its home in favour of others.
+const MAX_STAND_INS: usize = 3;
+
 /// Time for which an instance that is cut off from a group is left out as its home.
 pub(crate) const ISOLATED_AVOID_TIME: Duration = Duration::from_millis(1_500);
 
--- /dev/null
+++ b/crates/runner/tests/stand_ins.rs
@@ -0,0 +1,104 @@
+//! What an instance does for groups whose homes are left out.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use heatherhollow_gateway::Catalog;
+use heatherhollow_gateway::GatewayAction;
+use heatherhollow_gateway::GatewayEvent;
+use heatherhollow_gateway::GatewaySettings;
+use heatherhollow_gateway::GroupRule;
+use heatherhollow_gateway::InstanceIdentity;
+use heatherhollow_gateway::PeerEntry;
+use heatherhollow_gateway::SessionGateway;
+use heatherhollow_gateway::TargetEntry;
+use heatherhollow_gateway::TargetState;
+use heatherhollow_platform::StatusRow;
+use heatherhollow_types::MonoTime;
+
+/// Instances of the data centre.
+const INSTANCES: usize = 33;
+
+/// Groups, each with three targets; about as many as there are for three such data centres.
+const GROUPS: usize = 160;
+
+fn peer(i: usize) -> PeerEntry {
+    PeerEntry {
+        instance: format!("instance-{i}"),
+        address: format!("10.0.0.{}:7000", i + 1).parse().unwrap(),
+        data_centre: "near".parse().unwrap(),
+        capacity: 250,
+    }
+}
+
+fn target(i: usize) -> TargetEntry {
+    TargetEntry {
+        target: format!("target-{i}"),
+        group: format!("group-{:04}", i / 3),
+        address: format!("10.1.{}.{}:8000", i / 250, i % 250 + 1)
+            .parse()
+            .unwrap(),
+        data_centre: "near".parse().unwrap(),
+        slots: 3,
+        state: TargetState::Ready,
+        role: None,
+        born: 1,
+    }
+}
+
+fn catalog() -> Catalog {
+    let rule = |i| GroupRule {
+        group: format!("group-{i:04}"),
+        max_connections: 22,
+        sync_replicas: 1,
+    };
+    Catalog {
+        version: 1,
+        groups: (0..GROUPS).map(rule).collect(),
+        ..Catalog::default()
+    }
+}
+
+/// Ticks for three seconds and counts the connections that are opened.
+fn opened(gateway: &mut SessionGateway, now: &mut MonoTime) -> usize {
+    let mut count = 0;
+    for _ in 0..30 {
+        *now = *now + Duration::from_millis(100);
+        let actions = gateway.handle(GatewayEvent::Tick, *now);
+        let opens = |action: &&GatewayAction| matches!(action, GatewayAction::OpenTarget { .. });
+        count += actions.iter().filter(opens).count();
+    }
+    count
+}
+
+/// While all instances of a data centre are stopped in turn, each of them sees most others as leaving. If each
+/// then observed all groups, they would together open connections to all targets, far beyond the targets'
+/// limits and what a link between regions carries.
+#[test]
+fn an_instance_that_is_left_alone_does_not_observe_all_groups() {
+    let identity = InstanceIdentity {
+        name: peer(0).instance,
+        data_centre: peer(0).data_centre,
+        regions: Vec::new(),
+    };
+    let settings = GatewaySettings::default();
+    let mut gateway = SessionGateway::new(settings, identity, Arc::new(StatusRow), Box::new(()));
+    let mut now = MonoTime::from_millis(60_000);
+    let peers = (0..INSTANCES).map(peer).collect();
+    gateway.handle(GatewayEvent::InstancesCounted(INSTANCES), now);
+    gateway.handle(GatewayEvent::PeersRead(peers), now);
+    gateway.handle(GatewayEvent::CatalogRead(catalog()), now);
+    let targets = (0..3 * GROUPS).map(target).collect();
+    gateway.handle(GatewayEvent::TargetsRead(targets), now);
+    let alone = opened(&mut gateway, &mut now);
+    assert!(alone > 0, "it is the home of no group");
+    for i in 1..INSTANCES {
+        gateway.handle(GatewayEvent::HomeLeaving(peer(i).instance), now);
+    }
+    let left = opened(&mut gateway, &mut now);
+    // Two more instances stand in for each home, so an instance does for two more groups for each of its own.
+    assert!(
+        left <= 6 * alone,
+        "{left} connections opened while others leave, {alone} before"
+    );
+}
