Read the list of entries once when readers restart

Cause: holders of later places waited 400 ms for the entries of an earlier one, then read the list themselves. Where a list takes longer than that, four of them share the link between regions, and followers leave readers that are silent for 2 s.

Change: a reader that waits for the entries says so at once and with each renewal. Later holders wait for up to 4 s meanwhile, and followers stay.

--- a/crates/runner/src/follow.rs
+++ b/crates/runner/src/follow.rs
@@ -35,6 +35,8 @@
     Snapshot(Vec<StoreEntry>, StoreRevision),
     /// Changes after what was sent before; none of them mean that nothing has changed.
     Changes(Vec<StoreChange>, StoreRevision),
+    /// It waits for the entries itself.
+    Waiting,
 }
 
 /// A link to a reader.
@@ -83,6 +85,7 @@
         let revision = StoreRevision(state.revision);
         let part = state.part();
         Ok(match part {
+            StatePart::Changes if revision == StoreRevision::default() => Some(ReaderNews::Waiting),
             StatePart::Changes => {
                 let changes = state.entries.into_iter().map(change_of).collect();
                 Some(ReaderNews::Changes(changes, revision))
--- a/crates/runner/src/mirror.rs
+++ b/crates/runner/src/mirror.rs
@@ -1,7 +1,8 @@
 //! Copy of the store's entries that an instance passes on to followers of its data centre.
 //!
 //! A reader of the store keeps the copy. Followers get the whole of it once, each change after that, and
-//! in each [`CONFIRM_INTERVAL`] a frame that says that the store still answers the reader. The store's
+//! in each [`CONFIRM_INTERVAL`] a frame that says that the store still answers the reader. A reader that
+//! still waits for the entries says that as often, so that nobody else reads them meanwhile. The store's
 //! calls, and the bytes between regions, so grow with data centres instead of instances.
 
 use std::sync::Mutex;
@@ -97,6 +98,7 @@
             ahead,
             ..MirrorState::default()
         };
+        state.put_off();
     }
 
     /// Adds a follower that knows the entries up to a revision.
@@ -110,6 +112,9 @@
         }
         state.ahead.push((known, follower));
         state.admit();
+        if state.role == MirrorRole::Reader {
+            state.put_off();
+        }
     }
 
     /// Takes the whole list of entries.
@@ -151,6 +156,7 @@
     pub fn confirm(&self) {
         let mut state = self.lock();
         state.is_confirmed = true;
+        state.put_off();
         if state.is_current() {
             state.send(Vec::new());
         }
@@ -191,6 +197,16 @@
             .retain(|follower| follower.send(body.clone()));
     }
 
+    /// Tells followers that the entries are still being read.
+    fn put_off(&mut self) {
+        let body = FrameBody::State(StateFrame {
+            part: StatePart::Changes as i32,
+            ..StateFrame::default()
+        });
+        self.ahead
+            .retain(|(_, follower)| follower.send(body.clone()));
+    }
+
     fn detach(&mut self) {
         let count = self.followers.len() + self.ahead.len();
         if count > 0 {
--- a/crates/runner/src/watch.rs
+++ b/crates/runner/src/watch.rs
@@ -57,10 +57,14 @@
 /// together with it have started by then.
 const FOLLOW_LIMIT: Duration = Duration::from_millis(1_000);
 
-/// Time for which a reader waits for the entries of another one before it reads the list itself; the other
-/// may be starting too.
+/// Time for which a reader waits for a sign of another one before it reads the list itself; the other may
+/// be starting too.
 const COPY_LIMIT: Duration = Duration::from_millis(400);
 
+/// Time for which a reader waits for the entries of another one that reads them. A link of 30 Mbit/s
+/// carries 15 MB in it, several times the entries of a large deployment.
+const COPY_TIME: Duration = Duration::from_secs(4);
+
 /// Time for which an instance without a place reads the store before it looks for a reader again.
 const UNPLACED_READ_TIME: Duration = Duration::from_secs(10);
 
@@ -205,6 +209,7 @@
         let error = match ReaderLink::open(reader, self.revision.unwrap_or_default()).await {
             Ok(mut link) => loop {
                 match link.next().await {
+                    Ok(ReaderNews::Waiting) => {}
                     Ok(news) => {
                         if !is_followed {
                             info!("reader_followed reader={reader}");
@@ -226,7 +231,7 @@
     }
 
     /// Takes the entries from a reader that holds an earlier place, so that the list of all entries
-    /// crosses to another region once and not once for each place; none if there is no such reader soon.
+    /// crosses to another region once and not once for each place; none if no such reader has or reads them.
     async fn copy_entries(&mut self, earlier: &[SocketAddr]) -> Option<StoreRevision> {
         let known = self.revision.unwrap_or_default();
         // Some of them may wait for others' entries themselves, so all are asked at once.
@@ -234,8 +239,12 @@
             .iter()
             .map(|reader| Box::pin(copy_from(*reader, known)))
             .collect::<FuturesUnordered<_>>();
-        let copied = timeout(COPY_LIMIT, copies.next()).await.ok().flatten();
-        let (reader, entries, revision) = copied?;
+        let copied = loop {
+            if let Some(copied) = copies.next().await? {
+                break copied;
+            }
+        };
+        let (reader, entries, revision) = copied;
         info!("entries_copied reader={reader}");
         self.parts.mirror.replace(&entries, revision);
         self.replace_all(entries);
@@ -253,6 +262,7 @@
                 self.apply_all(changes);
                 self.revision = self.revision.max(Some(revision));
             }
+            ReaderNews::Waiting => {}
         }
     }
 
@@ -414,17 +424,46 @@
     }
 }
 
-/// Asks a reader for all its entries until it sends them.
-async fn copy_from(
-    reader: SocketAddr,
-    known: StoreRevision,
-) -> (SocketAddr, Vec<StoreEntry>, StoreRevision) {
+/// Entries of a reader, with its address.
+type CopiedEntries = (SocketAddr, Vec<StoreEntry>, StoreRevision);
+
+/// Asks a reader for all its entries; none if it shows no sign soon, or does not get them in time.
+async fn copy_from(reader: SocketAddr, known: StoreRevision) -> Option<CopiedEntries> {
+    let (mut link, mut news) = timeout(COPY_LIMIT, first_news(reader, known)).await.ok()?;
+    let copy = async {
+        loop {
+            match news {
+                ReaderNews::Snapshot(entries, revision) => {
+                    return Ok::<_, String>((reader, entries, revision));
+                }
+                ReaderNews::Changes(..) | ReaderNews::Waiting => news = link.next().await?,
+            }
+        }
+    };
+    match timeout(COPY_TIME, copy).await {
+        Ok(Ok(copied)) => Some(copied),
+        Ok(Err(error)) => {
+            info!("entries_not_copied reader={reader} error={error:?}");
+            None
+        }
+        Err(_) => {
+            info!("entries_not_copied reader={reader} error=\"late\"");
+            None
+        }
+    }
+}
+
+/// Asks a reader until it sends anything.
+async fn first_news(reader: SocketAddr, known: StoreRevision) -> (ReaderLink, ReaderNews) {
     loop {
-        let copy = async { ReaderLink::open(reader, known).await?.next().await };
-        match copy.await {
-            Ok(ReaderNews::Snapshot(entries, revision)) => return (reader, entries, revision),
-            Ok(ReaderNews::Changes(..)) => {}
-            Err(error) => debug!("entries_not_copied reader={reader} error={error:?}"),
+        let asked = async {
+            let mut link = ReaderLink::open(reader, known).await?;
+            let news = link.next().await?;
+            Ok::<_, String>((link, news))
+        };
+        match asked.await {
+            Ok(answered) => return answered,
+            Err(error) => debug!("reader_not_answered reader={reader} error={error:?}"),
         }
         sleep(FOLLOW_PAUSE / 2).await;
     }
--- a/crates/runner/tests/followers.rs
+++ b/crates/runner/tests/followers.rs
@@ -133,6 +133,37 @@
     assert_eq!(unpacked(frames).len(), 3);
 }
 
+/// A follower that hears nothing looks for another reader, or reads all entries itself over a link that is
+/// busy with the same list.
+#[test]
+fn followers_hear_that_a_reader_waits() {
+    let mirror = StoreMirror::default();
+    mirror.set_reader(true);
+    let mut follower = follow(&mirror, true);
+    let waiting = StateFrame::default();
+    assert_eq!(received(&mut follower).0, vec![waiting.clone()], "at once");
+    mirror.confirm();
+    assert_eq!(received(&mut follower).0, [waiting], "with the renewals");
+    mirror.replace(&entries(), StoreRevision(7));
+    assert!(!unpacked(received(&mut follower).0).is_empty());
+    mirror.confirm();
+    let (frames, _) = received(&mut follower);
+    assert!(frames.iter().all(|frame| frame.revision == 7));
+    assert_eq!(frames.len(), 1);
+}
+
+/// Who does not read the store must not keep others waiting.
+#[test]
+fn only_readers_let_followers_wait() {
+    let mirror = StoreMirror::default();
+    let mut follower = follow(&mirror, true);
+    assert!(follower.try_recv().is_err(), "not known yet");
+    mirror.set_reader(true);
+    assert_eq!(received(&mut follower).0, [StateFrame::default()]);
+    mirror.lose_watch();
+    assert_eq!(follower.try_recv(), Ok(FrameBody::Detached(true)));
+}
+
 /// A small frame that unpacks to more than the memory of an instance must not be unpacked whole.
 #[test]
 fn oversized_entries_are_refused() {
--- /dev/null
+++ b/crates/runner/tests/starting.rs
@@ -0,0 +1,306 @@
+//! Instances of a data centre that start together far from the store, over a narrow link.
+//!
+//! Guards against a start at which every instance reads all entries for itself: the link is then full for
+//! longer than calls to the store may take.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_trait::async_trait;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::runtime::Runtime;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use heatherhollow_gateway::GatewaySettings;
+use heatherhollow_gateway::InstanceIdentity;
+use heatherhollow_gateway::OrderReply;
+use heatherhollow_platform::LineProtocol;
+use heatherhollow_platform::PlatformEntries;
+use heatherhollow_platform::StatusRow;
+use heatherhollow_ports::LeaseId;
+use heatherhollow_ports::StoreChange;
+use heatherhollow_ports::StoreEntry;
+use heatherhollow_ports::StoreError;
+use heatherhollow_ports::StorePort;
+use heatherhollow_ports::StoreRevision;
+use heatherhollow_ports::SwapReply;
+use heatherhollow_runner::InstanceSettings;
+use heatherhollow_runner::PromotionPort;
+use heatherhollow_runner::RunnerParts;
+use heatherhollow_runner::run;
+use heatherhollow_standin::KeyValueStore;
+use heatherhollow_standin::NetworkModel;
+use heatherhollow_standin::NetworkSettings;
+use heatherhollow_standin::StoreSettings;
+use heatherhollow_types::DataCentre;
+use heatherhollow_types::RegionName;
+
+/// Instances of the data centre.
+const INSTANCES: usize = 8;
+
+/// Pages that a list of all entries has.
+const PAGES: usize = 20;
+
+/// Size of the entries of a page, in bytes.
+const PAGE_BYTES: usize = 256 << 10;
+
+/// First port of an instance.
+const FIRST_PORT: u16 = 7_001;
+
+/// Time limit of a call, as the platform's client has it.
+const CALL_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Time after which a wait counts as failed.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+const CONFIG: &str = r#"{"Version":7,
+    "Routes":[{"Database":"orders","Kind":"primary","TimeoutMs":1000,"ObjectiveMs":400,"Service":"ledger"}],
+    "Services":[{"Name":"ledger","MaxConnections":22,"SyncReplicas":1}]}"#;
+
+const TARGET: &str = r#"{"Service":"ledger","Address":"127.0.0.1:9","Zone":"near","Slots":3,
+    "State":"ready","DbRole":"replica","Sequence":4,"born":17}"#;
+
+/// The store with lists that come in pages, each of which has the time limit of a call.
+struct PagedStore(Arc<dyn StorePort>);
+
+impl PagedStore {
+    async fn page(&self, prefix: &str) -> Result<(Vec<StoreEntry>, StoreRevision), StoreError> {
+        match timeout(CALL_LIMIT, self.0.list(prefix)).await {
+            Ok(page) => page,
+            Err(_) => Err(StoreError::ReplyLost("late".to_string())),
+        }
+    }
+}
+
+#[async_trait]
+impl StorePort for PagedStore {
+    async fn get(&self, path: &str) -> Result<Option<StoreEntry>, StoreError> {
+        self.0.get(path).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<(Vec<StoreEntry>, StoreRevision), StoreError> {
+        if !prefix.is_empty() {
+            return self.page(prefix).await;
+        }
+        let (mut entries, revision) = self.page("op").await?;
+        for prefix in ["servers", "heatherhollow"] {
+            entries.extend(self.page(prefix).await?.0);
+        }
+        for page in 0..PAGES {
+            entries.extend(self.page(&format!("bulk/{page}")).await?.0);
+        }
+        Ok((entries, revision))
+    }
+
+    async fn compare_and_swap(
+        &self,
+        path: &str,
+        expected: Option<StoreRevision>,
+        value: Vec<u8>,
+        lease: Option<LeaseId>,
+    ) -> Result<SwapReply, StoreError> {
+        self.0.compare_and_swap(path, expected, value, lease).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> Result<Vec<StoreChange>, StoreError> {
+        self.0.watch(prefix, after, wait).await
+    }
+
+    async fn grant_lease(&self, span: Duration) -> Result<LeaseId, StoreError> {
+        self.0.grant_lease(span).await
+    }
+
+    async fn renew_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        self.0.renew_lease(lease).await
+    }
+
+    async fn end_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        self.0.end_lease(lease).await
+    }
+}
+
+struct NoPromotions;
+
+#[async_trait]
+impl PromotionPort for NoPromotions {
+    async fn promote(&self, _group: &str, _target: &str, _token: u64) -> OrderReply {
+        OrderReply::NotSent
+    }
+}
+
+/// Instances of one data centre, which share a process and lose it together.
+struct World {
+    network: Arc<NetworkModel>,
+    store: KeyValueStore,
+    far: DataCentre,
+    regions: Vec<(DataCentre, RegionName)>,
+}
+
+/// Instances that run until they are killed together.
+struct RunningInstances {
+    threads: Vec<JoinHandle<()>>,
+    stop: watch::Sender<bool>,
+}
+
+impl RunningInstances {
+    fn kill(self) {
+        self.stop.send(true).unwrap();
+        for thread in self.threads {
+            thread.join().unwrap();
+        }
+    }
+}
+
+/// Addresses of an instance on a loopback address of its own: clients, links, status.
+fn addresses(instance: usize) -> [SocketAddr; 3] {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, high | 1, low, instance as u8 + 1);
+    [0, 1, 2].map(|i| SocketAddr::from((ip, FIRST_PORT + i)))
+}
+
+impl World {
+    async fn new() -> Self {
+        let [near, far] = ["near", "far"].map(|name| name.parse::<DataCentre>().unwrap());
+        let regions = vec![
+            (far.clone(), "north".parse().unwrap()),
+            (near.clone(), "south".parse().unwrap()),
+        ];
+        let network = Arc::new(NetworkModel::new(NetworkSettings {
+            data_centres: regions.clone(),
+            ..NetworkSettings::default()
+        }));
+        let store = KeyValueStore::new(StoreSettings::new(near.clone()), network.clone());
+        let writer = store.port(&near);
+        let mut entries = vec![
+            ("op/config".to_string(), CONFIG.as_bytes().to_vec()),
+            ("servers/i-1".to_string(), TARGET.as_bytes().to_vec()),
+        ];
+        for page in 0..PAGES {
+            entries.push((format!("bulk/{page}"), vec![page as u8; PAGE_BYTES]));
+        }
+        for (path, value) in entries {
+            let stored = writer.compare_and_swap(&path, None, value, None).await;
+            assert!(matches!(stored, Ok(SwapReply::Swapped(_))));
+        }
+        Self {
+            network,
+            store,
+            far,
+            regions,
+        }
+    }
+
+    fn parts(&self, instance: usize) -> RunnerParts {
+        let name = format!("instance-{instance}");
+        let [clients, links, status] = addresses(instance);
+        RunnerParts {
+            settings: InstanceSettings {
+                identity: InstanceIdentity {
+                    name: name.clone(),
+                    data_centre: self.far.clone(),
+                    regions: self.regions.clone(),
+                },
+                client_listen: clients,
+                link_listen: links,
+                status_listen: status,
+                ..InstanceSettings::default()
+            },
+            gateway: GatewaySettings::default(),
+            wire: Arc::new(LineProtocol { instance: name }),
+            catalog: Arc::new(PlatformEntries),
+            status: Arc::new(StatusRow),
+            store: Arc::new(PagedStore(self.store.port(&self.far))),
+            promotions: Arc::new(NoPromotions),
+            on_reload: Box::new(|| {}),
+        }
+    }
+
+    /// Starts all instances, each on a thread as on a machine of its own.
+    fn start(self: &Arc<Self>) -> RunningInstances {
+        let (stop, is_stopped) = watch::channel(false);
+        let threads = (0..INSTANCES).map(|instance| {
+            let world = self.clone();
+            let mut is_stopped = is_stopped.clone();
+            std::thread::spawn(move || {
+                let runtime = tokio::runtime::Builder::new_current_thread()
+                    .enable_all()
+                    .build()
+                    .unwrap();
+                runtime.block_on(async {
+                    tokio::select! {
+                        result = run(world.parts(instance)) => result.unwrap(),
+                        _ = is_stopped.changed() => {}
+                    }
+                });
+            })
+        });
+        RunningInstances {
+            threads: threads.collect(),
+            stop,
+        }
+    }
+
+    /// Waits until all instances are ready.
+    async fn wait_ready(&self) {
+        let began_at = Instant::now();
+        let waits = (0..INSTANCES).map(|instance| async move {
+            let [_, _, status] = addresses(instance);
+            while !is_ready(status).await {
+                assert!(began_at.elapsed() < PATIENCE, "{status} is not ready");
+                sleep(Duration::from_millis(50)).await;
+            }
+        });
+        futures::future::join_all(waits).await;
+    }
+}
+
+async fn is_ready(status: SocketAddr) -> bool {
+    let ask = async {
+        let mut stream = TcpStream::connect(status).await?;
+        let request = b"GET /ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        stream.write_all(request).await?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await?;
+        Ok::<_, std::io::Error>(answer)
+    };
+    ask.await
+        .is_ok_and(|answer| answer.starts_with("HTTP/1.1 200"))
+}
+
+/// After a loss of power the holders of places ask for the entries at once. If each reads the list, the link
+/// carries it as often as there are places, and all instances serve later by as much.
+#[test]
+fn the_list_crosses_the_link_once() {
+    let test = Runtime::new().unwrap();
+    test.block_on(async {
+        let world = Arc::new(World::new().await);
+        let instances = world.start();
+        world.wait_ready().await;
+        // The holders of places have to know each other.
+        sleep(Duration::from_millis(1_500)).await;
+        instances.kill();
+        let before = world.network.bytes_across_regions();
+        let instances = world.start();
+        world.wait_ready().await;
+        let bytes = world.network.bytes_across_regions() - before;
+        instances.kill();
+        let list_bytes = (PAGES * PAGE_BYTES) as u64;
+        assert!(
+            bytes < list_bytes * 3 / 2,
+            "{bytes} bytes crossed the link, a list has {list_bytes}"
+        );
+    });
+}
