--- a/crates/gateway/tests/promises.rs
+++ b/crates/gateway/tests/promises.rs
@@ -187,6 +187,36 @@
     }
 }
 
+fn restart_options(faults: usize, has_homes: bool) -> WorldOptions {
+    WorldOptions {
+        has_homes,
+        has_restarts: true,
+        ..long_options(faults)
+    }
+}
+
+/// Days on which a paused target restarted, confirmed a commit of the old primary, and the commit was lost.
+#[test]
+fn restarts_during_promotions_stay_mended() {
+    let direct = [(20, 2), (41, 5), (134, 2), (248, 2), (428, 2), (660, 0)];
+    let through_homes = [(43, 1), (136, 4), (415, 1), (663, 3)];
+    let direct = direct.map(|(seed, faults)| (seed, restart_options(faults, false)));
+    let through_homes = through_homes.map(|(seed, faults)| (seed, restart_options(faults, true)));
+    for (seed, options) in direct.into_iter().chain(through_homes) {
+        let world = play(seed, options);
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// Days on which a paused target restarts and vouches for the old primary before an instance hears of it.
+#[test]
+fn restarted_target_vouches_for_no_old_primary() {
+    let direct = play(539, restart_options(5, false));
+    let through_homes = play(119, restart_options(5, true));
+    assert_eq!(direct.violations, Vec::<String>::new());
+    assert_eq!(through_homes.violations, Vec::<String>::new());
+}
+
 /// The checks notice targets that go on taking records while paused: an old primary that is cut off
 /// from the instances then gets commits acknowledged that the promotion loses.
 #[test]
