--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -188,14 +188,8 @@
                 // The session may have committed through an instance that knew a later term.
                 let position = session.position_in(group);
                 let state = &mut self.groups[group.0];
-                let known_term = state.term;
-                if let Some(position) = position
-                    && state.learn_term(position.term, now)
-                {
-                    info!(
-                        "term_seen group={} term={} previous={known_term} from=session",
-                        state.name, position.term
-                    );
+                if let Some(position) = position {
+                    state.learn_term(position.term, None, now);
                 }
                 state.used_at = now;
                 if let Some(request) = self.client_mut(client).and_then(|s| s.request.as_mut()) {
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use log::info;
+
 use heatherhollow_failover::MonitorSettings;
 use heatherhollow_failover::PrimaryMonitor;
 use heatherhollow_failover::Suspicion;
@@ -384,12 +386,24 @@
         self.unproved_since = None;
     }
 
-    /// Takes a term that a target or a session has shown; true if it is higher than the known one, whose
-    /// primary does not lead any more.
-    pub fn learn_term(&mut self, term: TermNumber, now: MonoTime) -> bool {
+    /// Takes a term that a target, or a session without one, has shown; true if it is higher than the known
+    /// one, whose primary does not lead any more.
+    pub fn learn_term(
+        &mut self,
+        term: TermNumber,
+        from: Option<TargetIndex>,
+        now: MonoTime,
+    ) -> bool {
         if term <= self.term {
             return false;
         }
+        let lane = from.and_then(|target| self.lane(target));
+        info!(
+            "term_seen group={} term={term} previous={} from={}",
+            self.name,
+            self.term,
+            lane.map_or("session", |lane| lane.entry.target.as_str())
+        );
         self.clear_primary(now);
         self.start_term(term);
         true
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -101,15 +101,7 @@
     ) {
         let monitor = self.settings.monitor.clone();
         let state = &mut self.groups[group.0];
-        let known_term = state.term;
-        if state.learn_term(report.term, now) {
-            info!(
-                "term_seen group={} term={} previous={known_term} from={}",
-                state.name,
-                report.term,
-                target_name(state.lane(target))
-            );
-        }
+        state.learn_term(report.term, Some(target), now);
         let is_current = report.term == state.term;
         match report.role {
             TargetRole::Primary if is_current => {
@@ -418,6 +410,6 @@
 /// Time between two questions to a target while no primary is known.
 const PROBE_INTERVAL: std::time::Duration = std::time::Duration::from_millis(60);
 
-pub(crate) fn target_name(lane: Option<&TargetLane>) -> &str {
+fn target_name(lane: Option<&TargetLane>) -> &str {
     lane.map_or("unknown", |lane| lane.entry.target.as_str())
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -30,7 +30,6 @@
 use crate::message::TargetAnswer;
 use crate::message::TargetCall;
 use crate::message::TargetCode;
-use crate::observe::target_name;
 use crate::session::AnswerProof;
 use crate::session::ClientRequest;
 use crate::session::RequestKind;
@@ -531,18 +530,7 @@
         let Some(position) = answer.position else {
             return;
         };
-        let known_term = state.term;
-        let is_primary = if state.learn_term(position.term, now) {
-            info!(
-                "term_seen group={} term={} previous={known_term} from={}",
-                state.name,
-                position.term,
-                target_name(state.lane(place.target))
-            );
-            false
-        } else {
-            is_primary
-        };
+        let is_primary = !state.learn_term(position.term, Some(place.target), now) && is_primary;
         // An answer to an earlier call may be that of the replica that it was.
         if is_primary && sent_at >= state.primary_since {
             let term = state.term;
--- a/crates/gateway/tests/terms.rs
+++ b/crates/gateway/tests/terms.rs
@@ -75,6 +75,18 @@
     told.or_else(|| await_answer(desk))
 }
 
+/// What a client is told of a read after target 1 has restarted without hearing that target 2 leads.
+fn told_after_restart(desk: &mut HandDesk) -> Option<ClientAnswer> {
+    desk.targets.successor = Some(2);
+    desk.targets.unaware = vec![1];
+    desk.tell(GatewayEvent::TargetListed(TargetEntry {
+        born: 2,
+        ..entry(1)
+    }));
+    desk.pass(20);
+    told_of_read(desk)
+}
+
 /// A read that another instance forwards.
 fn forwarded_read(position: GroupPosition) -> ForwardedQuery {
     ForwardedQuery {
@@ -185,15 +197,8 @@
     for _ in 0..40 {
         desk.pass(100);
     }
-    desk.targets.successor = Some(2);
-    desk.targets.unaware = vec![1];
-    let restarted = TargetEntry {
-        born: 2,
-        ..entry(1)
-    };
-    desk.tell(GatewayEvent::TargetListed(restarted));
-    desk.pass(20);
-    assert!(told_of_read(&mut desk).is_some_and(|answer| answer.end.is_err()));
+    let told = told_after_restart(&mut desk);
+    assert!(told.is_some_and(|answer| answer.end.is_err()));
 }
 
 /// A run of a promotion that waits for the duty while another target comes to lead pauses nothing: the
@@ -328,15 +333,8 @@
 fn target_that_restarted_while_unlisted_is_no_evidence() {
     let mut desk = HandDesk::new("present");
     unlist_replicas(&mut desk);
-    desk.targets.successor = Some(2);
-    desk.targets.unaware = vec![1];
-    let restarted = TargetEntry {
-        born: 2,
-        ..entry(1)
-    };
-    desk.tell(GatewayEvent::TargetListed(restarted));
-    desk.pass(20);
-    assert!(told_of_read(&mut desk).is_some_and(|answer| answer.end.is_err()));
+    let told = told_after_restart(&mut desk);
+    assert!(told.is_some_and(|answer| answer.end.is_err()));
 }
 
 /// The primary of term 1 was cut off; the survey finds that another one leads term 2. That one is not cut
