--- a/crates/heatherhollow/tests/following.rs
+++ b/crates/heatherhollow/tests/following.rs
@@ -96,6 +96,32 @@
     });
 }
 
+/// A watch that was sent while the store was silent is never answered; waiting for it after the store's
+/// return would keep a configuration out of force beyond the operators' bound.
+#[test]
+fn lost_watch_is_repeated_once_the_store_answers() {
+    run(async {
+        let mut cluster = start("silent").await;
+        let all = (0..INSTANCES).collect::<Vec<_>>();
+        for is_silent in [true, false] {
+            for instance in &all {
+                let fault = SoakFault::StoreLink(*instance, ProxyMode::Silent);
+                cluster.world.apply(fault, is_silent).unwrap();
+            }
+            if is_silent {
+                // The watches of before and of the start of the silence have ended by then, not the next.
+                tokio::time::sleep(Duration::from_millis(6_500)).await;
+            }
+        }
+        let changed_at = Instant::now();
+        cluster.world.add_database("db-new");
+        cluster.wait_for(&all, "db-new").await;
+        let bound = Duration::from_secs(3);
+        assert!(changed_at.elapsed() < bound, "{:?}", changed_at.elapsed());
+        cluster.stop().await;
+    });
+}
+
 /// Instances that restart after a database was removed must not serve it again, even if a reader that they
 /// may follow has not heard of the removal: the store does not answer it.
 #[test]
