--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -17,7 +17,6 @@
 use crate::catalog::TargetState;
 use crate::group::DatabaseGroup;
 use crate::group::GroupIndex;
-use crate::group::RECENT_USE;
 use crate::group::VanishedTarget;
 use crate::homes::HomeTable;
 use crate::lane::ConnectionId;
@@ -214,7 +213,7 @@
         self.choose_homes(now, false);
         self.ask_lost_homes(now);
         for i in 0..self.groups.len() {
-            if !self.observes(GroupIndex(i), now) {
+            if !self.is_observer(GroupIndex(i), now) {
                 if now.since(self.groups[i].rested_at) >= REST_INTERVAL {
                     self.groups[i].rested_at = now;
                     self.rest_group(GroupIndex(i), now);
@@ -226,19 +225,6 @@
         }
     }
 
-    /// Whether the instance observes a group: its clients use it, or it is its home by rank and not only
-    /// since others are left out.
-    fn observes(&mut self, group: GroupIndex, now: MonoTime) -> bool {
-        if !self.is_observer(group, now) {
-            return false;
-        }
-        let state = &self.groups[group.0];
-        let is_used = now.since(state.used_at) < RECENT_USE;
-        let is_shared = state.is_scarce(self.instances);
-        let (name, data_centre) = (&self.identity.name, &self.identity.data_centre);
-        is_used || !is_shared || self.homes.is_among_first(name, &state.name, data_centre)
-    }
-
     fn apply_catalog(&mut self, catalog: Catalog, now: MonoTime) {
         let known = self.catalog.as_ref().map(|catalog| catalog.version);
         if known.is_some_and(|known| known >= catalog.version) {
@@ -288,7 +274,7 @@
     fn list_target(&mut self, entry: TargetEntry, now: MonoTime) {
         let group = self.group_index(&entry.group, now);
         let state = &mut self.groups[group.0];
-        let is_back = state.take_back(&entry.target, entry.born);
+        let is_back = state.forget_vanished(&entry.target, entry.born);
         let Some(target) = state.find(&entry.target) else {
             // Thousands of targets may be listed at once, of which other lines give the number.
             if self.may_log(now) {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -162,10 +162,19 @@
         }
     }
 
-    /// Whether the instance observes a group: it is its home, or its clients use the group here.
-    pub(crate) fn is_observer(&self, group: GroupIndex, now: MonoTime) -> bool {
-        let is_used = now.since(self.groups[group.0].used_at) < RECENT_USE;
-        is_used || self.groups[group.0].remote_home.is_none()
+    /// Whether the instance observes a group: its clients use the group here, or it is the group's home by
+    /// rank and not only since others are left out.
+    pub(crate) fn is_observer(&mut self, group: GroupIndex, now: MonoTime) -> bool {
+        let state = &self.groups[group.0];
+        if now.since(state.used_at) < RECENT_USE {
+            return true;
+        }
+        if state.remote_home.is_some() {
+            return false;
+        }
+        let is_shared = state.is_scarce(self.instances);
+        let (name, data_centre) = (&self.identity.name, &self.identity.data_centre);
+        !is_shared || self.homes.is_among_first(name, &state.name, data_centre)
     }
 
     /// Places the present request of a client: at the home of its group, or in the local queue.
@@ -225,6 +234,8 @@
             },
             _ => TransactionPart::Single,
         };
+        let group = session.request.as_ref().map(|request| request.group);
+        let position = group.and_then(|group| session.position_in(group));
         let Some(request) = &mut session.request else {
             return;
         };
@@ -235,17 +246,15 @@
         request.sent_at = now;
         request.sent_to.clone_from(&home);
         request.attempts += 1;
-        let group = request.group;
-        let (asked, route) = (request.query.clone(), request.route.clone());
         let previous = session.last_home.replace(home.clone());
         let query = ForwardedQuery {
             serial,
-            query: asked,
-            route,
+            query: request.query.clone(),
+            route: request.route.clone(),
             part,
             shape,
             values: session.values.clone(),
-            position: session.position_in(group),
+            position,
             has_doubt: session.has_doubt,
         };
         if let Some(previous) = previous.filter(|previous| *previous != home) {
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -295,7 +295,7 @@
     }
 
     /// Forgets that a target vanished, as it is listed again; tells whether it had, and has not restarted.
-    pub fn take_back(&mut self, target: &str, born: u64) -> bool {
+    pub fn forget_vanished(&mut self, target: &str, born: u64) -> bool {
         let found = self.vanished.iter().position(|gone| gone.target == target);
         found.is_some_and(|i| self.vanished.remove(i).born == born)
     }
