Repeat a watch that may have been lost in an outage of the store

Ruled out: a shorter time limit of the watch. Each call is paid for, and a watch that waits is a call.

The first renewal of a reader's lease that is answered after a failure now ends the watch in progress, which is sent again from the same revision, and so does the end of the place. Failed renewals are repeated after 0.25 s instead of 1 s.

--- a/crates/runner/src/readers.rs
+++ b/crates/runner/src/readers.rs
@@ -15,6 +15,7 @@
 use rand::seq::SliceRandom;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
@@ -67,6 +68,7 @@
 /// Reader place of this instance; its lease is renewed until the value is dropped.
 pub struct ReaderPlace {
     is_held: Arc<AtomicBool>,
+    regained: Arc<Notify>,
     renewal: JoinHandle<()>,
 }
 
@@ -75,6 +77,13 @@
     pub fn is_held(&self) -> bool {
         self.is_held.load(Ordering::Relaxed)
     }
+
+    /// Waits until the store answers a renewal of the lease after it left one without an answer.
+    ///
+    /// Calls that were sent in between may be lost, although their connections are open.
+    pub async fn wait_until_regained(&self) {
+        self.regained.notified().await;
+    }
 }
 
 impl Drop for ReaderPlace {
@@ -89,6 +98,11 @@
 /// instead of all of them writing at once.
 const CLAIM_JITTER: Duration = Duration::from_millis(150);
 
+/// Pause before a renewal is repeated that the store did not answer.
+///
+/// It adds to the time after which an outage of the store is known to be over.
+const RENEWAL_RETRY_PAUSE: Duration = Duration::from_millis(250);
+
 /// Path of a place and the revision of its entry, if there is one.
 type ListedPlace = (String, Option<StoreRevision>);
 
@@ -240,18 +254,25 @@
     ) -> ReaderPlace {
         let is_held = Arc::new(AtomicBool::new(true));
         let held = is_held.clone();
+        let regained = Arc::new(Notify::new());
+        let answered = regained.clone();
         let store = self.store.clone();
         let mirror = self.mirror.clone();
         let is_leaving = self.is_leaving.clone();
         let renewal = tokio::spawn(async move {
             let has_left = match claim.await {
-                Some(lease) => renew_place(&*store, lease, &mirror, is_leaving).await,
+                Some(lease) => renew_place(&*store, lease, &mirror, &answered, is_leaving).await,
                 None => false,
             };
             // An instance that leaves goes on reading the store until it stops.
             held.store(has_left, Ordering::Relaxed);
+            answered.notify_one();
         });
-        ReaderPlace { is_held, renewal }
+        ReaderPlace {
+            is_held,
+            regained,
+            renewal,
+        }
     }
 }
 
@@ -275,14 +296,20 @@
 /// Renews the lease of a place until the lease ends, or ends it when the instance leaves.
 ///
 /// Renewals also confirm to followers that the store answers, as they cost a tenth of other calls.
-/// Returns whether the instance left.
+/// The first answer after a failure is announced on `regained`. Returns whether the instance left.
 async fn renew_place(
     store: &dyn StorePort,
     lease: LeaseId,
     mirror: &StoreMirror,
+    regained: &Notify,
     mut is_leaving: watch::Receiver<bool>,
 ) -> bool {
+    let mut has_failed = false;
     loop {
+        let pause = match has_failed {
+            true => RENEWAL_RETRY_PAUSE,
+            false => CONFIRM_INTERVAL,
+        };
         tokio::select! {
             has_left = wait_until_leaving(&mut is_leaving) => {
                 if has_left && let Err(error) = store.end_lease(lease).await {
@@ -291,10 +318,15 @@
                 }
                 return has_left;
             }
-            () = sleep(CONFIRM_INTERVAL) => {}
+            () = sleep(pause) => {}
         }
         match store.renew_lease(lease).await {
-            Ok(()) => mirror.handle_renewal(),
+            Ok(()) => {
+                mirror.handle_renewal();
+                if std::mem::take(&mut has_failed) {
+                    regained.notify_one();
+                }
+            }
             Err(StoreError::LeaseEnded) => {
                 info!("reader_place_ended");
                 return false;
@@ -302,6 +334,7 @@
             Err(error) => {
                 info!("reader_lease_not_renewed error={:?}", error.to_string());
                 mirror.handle_renewal_failure();
+                has_failed = true;
             }
         }
     }
--- a/crates/runner/src/watch.rs
+++ b/crates/runner/src/watch.rs
@@ -291,8 +291,9 @@
             None => Instant::now() < deadline,
         };
         while may_continue() && !self.parts.events.is_closed() {
-            match self.fetch(after).await {
-                Ok(next) => {
+            match self.fetch(place.as_ref(), after).await {
+                Ok(None) => info!("store_watch_repeated"),
+                Ok(Some(next)) => {
                     self.record_success();
                     after = Some(next);
                     self.revision = Some(next);
@@ -321,20 +322,30 @@
 
     /// Reads the list of all entries, or waits for changes after a revision.
     ///
-    /// Returns the revision up to which changes are applied then.
-    async fn fetch(&mut self, after: Option<StoreRevision>) -> Result<StoreRevision, StoreError> {
+    /// Returns the revision up to which changes are applied then. Returns `None` if the call may
+    /// have been lost in an outage of the store that is over, or if `place` has ended.
+    async fn fetch(
+        &mut self,
+        place: Option<&ReaderPlace>,
+        after: Option<StoreRevision>,
+    ) -> Result<Option<StoreRevision>, StoreError> {
         let prefix = self.parts.format.watched_prefix();
         let Some(after) = after else {
             let (entries, revision) = self.parts.store.list(prefix).await?;
             self.parts.mirror.replace(&entries, revision);
             self.replace_entries(entries);
-            return Ok(revision);
+            return Ok(Some(revision));
+        };
+        let interruption = async {
+            match place {
+                Some(place) => place.wait_until_regained().await,
+                None => std::future::pending().await,
+            }
+        };
+        let changes = tokio::select! {
+            changes = self.parts.store.watch(prefix, after, self.parts.wait) => changes?,
+            () = interruption => return Ok(None),
         };
-        let changes = self
-            .parts
-            .store
-            .watch(prefix, after, self.parts.wait)
-            .await?;
         let last = changes.iter().map(|change| change.revision).max();
         let next = last.map_or(after, |last| last.max(after));
         self.parts.mirror.apply_changes(&changes, next);
@@ -342,7 +353,7 @@
         if last.is_some() && !is_urgent {
             sleep(BATCH_PAUSE).await;
         }
-        Ok(next)
+        Ok(Some(next))
     }
 
     fn replace_entries(&mut self, entries: Vec<StoreEntry>) {
