Keep the lead where all targets fall behind as replicas

If the target that led before is held back as well, whichever target leads leaves the others behind, and another change costs the group its service for a moment without ending the shortage. Such a primary now leads for at least 20 s.

--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -55,6 +55,8 @@
     pub primary: Option<TargetIndex>,
     /// Time at which `primary` became known as the primary.
     pub primary_since: MonoTime,
+    /// Target that was known to lead before `last_primary`.
+    pub previous_primary: Option<TargetIndex>,
     /// Last target that was known to lead; it stays set while there is no primary.
     pub last_primary: Option<TargetIndex>,
     /// Time since which no primary is known.
@@ -123,6 +125,7 @@
             term_start: None,
             primary: None,
             primary_since: now,
+            previous_primary: None,
             last_primary: None,
             leaderless_since: Some(now),
             last_failover_duration: None,
@@ -387,6 +390,9 @@
         {
             self.last_failover_duration = Some(now.since(since));
         }
+        if self.last_primary != Some(target) {
+            self.previous_primary = self.last_primary;
+        }
         self.primary = Some(target);
         self.primary_since = now;
         self.last_primary = Some(target);
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -8,8 +8,8 @@
 //!
 //! The change is worth its price if the replicas say that they need several times longer than it
 //! takes, and statements wait that the primary cannot run at once. Only a settled primary is
-//! replaced, and only while the platform accepts promotions, so that one fault causes at most one
-//! change.
+//! replaced, and only while the platform accepts promotions. If the primary before it is held back
+//! as well, the fault affects whichever targets follow, and another change would not help.
 
 use std::time::Duration;
 
@@ -26,10 +26,16 @@
 /// 300 ms while reads wait (`probe_interval`).
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1_000);
 
-/// Time for which a primary must have led. It covers the time in which the replicas of a new
-/// primary catch up, and keeps the lead from moving back and forth.
+/// Time for which a primary must have led; the replicas of a new primary catch up within it.
 const MIN_LEADING_TIME: Duration = Duration::from_secs(5);
 
+/// Time for which a primary must have led if the one before it is held back now: whichever target
+/// leads, the others fall behind, so another change would help only for a moment.
+const MIN_REPEAT_TIME: Duration = Duration::from_secs(20);
+
+/// Time without a change after the store did not grant the duty of ordering promotions.
+const DUTY_RETRY_TIME: Duration = Duration::from_secs(5);
+
 /// Duration that is assumed for a change while none has been observed.
 const ASSUMED_DURATION: Duration = Duration::from_secs(1);
 
@@ -67,10 +73,18 @@
         now: MonoTime,
     ) -> bool {
         let state = &self.groups[group.0];
-        let is_settled = now.since(state.primary_since) >= MIN_LEADING_TIME;
+        let previous = state.previous_primary.and_then(|i| state.pool(i));
+        let is_previous_held_back = previous
+            .and_then(|pool| pool.report)
+            .is_some_and(|(_, report)| is_held_back(state, &report));
+        let min_leading_time = match is_previous_held_back {
+            true => MIN_REPEAT_TIME,
+            false => MIN_LEADING_TIME,
+        };
+        let is_settled = now.since(state.primary_since) >= min_leading_time;
         let is_duty_granted = self
             .duty_unavailable_at
-            .is_none_or(|at| now.since(at) >= MIN_LEADING_TIME);
+            .is_none_or(|at| now.since(at) >= DUTY_RETRY_TIME);
         let is_long_short = state
             .shortage_since
             .is_some_and(|since| now.since(since) >= self.settings.shortage_limit + delay);
--- a/crates/gateway/tests/handover.rs
+++ b/crates/gateway/tests/handover.rs
@@ -109,3 +109,18 @@
         assert_eq!(simulation.promotions, 0, "seed {seed}");
     }
 }
+
+/// Guards against a lead that moves again and again while all targets fall behind as replicas.
+#[test]
+fn lead_does_not_move_back_and_forth() {
+    for seed in 1..=3 {
+        let simulation = LoadSimulation::simulate(
+            seed,
+            LoadOptions {
+                faults: vec![FaultKind::AllHeldBack],
+                ..options(HELD_BACK_SECONDS, true)
+            },
+        );
+        assert_eq!(simulation.promotions, 1, "seed {seed}");
+    }
+}
--- a/crates/gateway/tests/load/faults.rs
+++ b/crates/gateway/tests/load/faults.rs
@@ -23,6 +23,8 @@
     /// Both replicas receive the log but apply nothing until the fault ends, as after one record
     /// that comes very late. They report how long that still takes.
     HeldBack,
+    /// Like `HeldBack`, but target 0 also applies nothing as a replica.
+    AllHeldBack,
     /// A target fails a share of its statements.
     Failing(usize),
     /// A target stops; its inputs wait until the fault ends.
@@ -79,13 +81,17 @@
     /// Returns whether a target applies nothing. Target 0 was not affected when the fault began and
     /// is not affected as a replica either.
     pub fn is_lagging(&self, target: usize) -> bool {
-        let stops_applying = [FaultKind::LagAndLoss, FaultKind::HeldBack];
-        self.active.iter().any(|kind| stops_applying.contains(kind)) && target != 0
+        self.active.iter().any(|kind| match kind {
+            FaultKind::LagAndLoss | FaultKind::HeldBack => target != 0,
+            FaultKind::AllHeldBack => true,
+            _ => false,
+        })
     }
 
     /// Returns the time that a target needs to apply what it has received, as it reports it.
     pub fn reported_lag(&self, target: usize, now: MonoTime) -> Duration {
-        if self.active.contains(&FaultKind::HeldBack) && target != 0 {
+        let reports_lag = !self.active.contains(&FaultKind::LagAndLoss);
+        if reports_lag && self.is_lagging(target) {
             self.ends_at.since(now)
         } else {
             Duration::ZERO
