Try a lagging replica again after 60 ms instead of 120 ms

While replicas lag, one statement at a time tests whether a replica still lacks its position, and other statements leave that replica alone for the rest of the pause. A shorter pause notices sooner that a record was applied.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -163,7 +163,7 @@
             queue_fraction: 0.6,
             objective_fraction: 0.8,
             busy_backoff: Duration::from_millis(20),
-            lag_backoff: Duration::from_millis(120),
+            lag_backoff: Duration::from_millis(60),
             max_attempts: 4,
             max_pipelined: 64,
             max_prepared: 64,
