--- a/crates/gateway/tests/load/mod.rs
+++ b/crates/gateway/tests/load/mod.rs
@@ -177,8 +177,8 @@
     /// Target that leads the highest term.
     leader: usize,
     grants_duty: bool,
-    /// Number of promotions that took effect.
-    pub promotions: usize,
+    /// Seconds of traffic in which promotions took effect.
+    pub promotions: Vec<usize>,
     connection_targets: BTreeMap<ConnectionId, usize>,
     pools: Vec<SessionPool>,
     operations: Vec<Operation>,
@@ -215,7 +215,7 @@
             targets: (0..TARGETS).map(|i| LoadTarget::new(i == 0)).collect(),
             leader: 0,
             grants_duty: options.grants_duty,
-            promotions: 0,
+            promotions: Vec::new(),
             connection_targets: BTreeMap::new(),
             pools: ROUTES.iter().map(|_| SessionPool::default()).collect(),
             operations: Vec::new(),
--- a/crates/gateway/tests/load/targets.rs
+++ b/crates/gateway/tests/load/targets.rs
@@ -28,6 +28,7 @@
 use super::SimEvent;
 use super::TARGETS;
 use super::faults::FrozenInput;
+use super::second_of;
 
 /// Group of the targets.
 pub(super) const GROUP: &str = "ledger";
@@ -461,7 +462,7 @@
     /// Makes a target the primary of the next term. It has applied its log then, and the others
     /// follow it.
     pub(super) fn promote(&mut self, target: usize) {
-        self.promotions += 1;
+        self.promotions.push(second_of(self.now));
         self.leader = target;
         let term = self.targets[target].term + 1;
         let received = self.targets[target].received;
