--- a/crates/heatherhollow/tests/soak.rs
+++ b/crates/heatherhollow/tests/soak.rs
@@ -71,3 +71,18 @@
     assert!(report.served > 100);
     assert!(report.promotions <= 1, "{} promotions", report.promotions);
 }
+
+/// Repeats a run in which a replica of the stand-in dropped records that it had applied when its lag
+/// grew, between the check of a read's position and the read.
+#[test]
+fn late_record_among_other_faults_breaks_no_promise() {
+    let report = run_soak_with(SoakSettings {
+        seed: 9_201,
+        length: Duration::from_secs(12),
+        clients: 80,
+        has_late_record: true,
+        ..SoakSettings::default()
+    });
+    assert_eq!(report.violations, Vec::<String>::new());
+    assert!(report.served > 100);
+}
