Play the moving lead where statements wait, in its test

The test plays half of its runs without homes and wants six changes of the primary in twelve runs.

All twelve runs now have homes, and six changes are wanted as before. Runs without homes stay in promises_hold_when_the_lead_moves.

--- a/crates/gateway/tests/promises.rs
+++ b/crates/gateway/tests/promises.rs
@@ -251,8 +251,10 @@
 #[test]
 fn lead_moves_once_without_broken_promises() {
     let mut promotions = 0;
-    for (seed, has_homes) in (0..6).flat_map(|seed| [(seed, false), (seed, true)]) {
-        let simulation = simulate(seed, late_record_options(0, has_homes));
+    for seed in 0..12 {
+        // The simulated targets have no slots, so statements wait only where homes share the few
+        // connections.
+        let simulation = simulate(seed, late_record_options(0, true));
         assert_eq!(simulation.violations, Vec::<String>::new(), "seed {seed}");
         assert!(simulation.promotions <= 1, "seed {seed}");
         promotions += simulation.promotions;
--- a/tools/compare_plays.py
+++ b/tools/compare_plays.py
@@ -20,7 +20,7 @@
 import tempfile
 import tomllib
 
-# Refusal of git when another play holds the lock of the index; the entry itself is written.
+# Attempts at a play that ends without a report: git refuses a second writer of the index at the same time.
 ATTEMPTS = 3
 
 
