Shorten watches of instances that read the store without a place

Readers with a place repeat a lost watch once a renewal is answered; an instance without a place renews nothing and waited 5.5 s.

Such an instance now waits 1 s for changes, so a lost watch ends after 2.5 s. It reads for 10 s at most before it looks for a reader again, and needs four holders that nobody reaches, so the calls cost little.

--- a/crates/heatherhollow/tests/following.rs
+++ b/crates/heatherhollow/tests/following.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde_json::json;
+
 use heatherhollow_soak::ProxyMode;
 use heatherhollow_soak::SoakFault;
 
@@ -169,6 +171,40 @@
     });
 }
 
+/// Guards against a late configuration at an instance that reads the store without a reader place,
+/// and thus without renewals that show the end of an outage.
+#[test]
+fn unplaced_reader_repeats_a_lost_watch_in_time() {
+    run(async {
+        let mut cluster = Cluster::start("unplaced", 1).await;
+        cluster.wait_until_served(&[0], "db-present").await;
+        for place in 0..4 {
+            let path = format!("heatherhollow/readers/dc/{place}");
+            let holder = json!({ "instance": "unreachable", "address": "127.0.0.1:9" });
+            cluster.world.write_entry(&path, &holder);
+        }
+        let restarted = SoakFault::Kill(0);
+        cluster.world.apply(restarted, true).unwrap();
+        assert!(cluster.world.instance(0).wait(WAIT_LIMIT).await);
+        cluster.world.apply(restarted, false).unwrap();
+        cluster.world.add_database("db-before");
+        cluster.wait_until_served(&[0], "db-before").await;
+        assert_eq!(cluster.count_events(0, "store_read_without_place"), 1);
+        let outage = SoakFault::StoreLink(0, ProxyMode::Silent);
+        cluster.world.apply(outage, true).unwrap();
+        tokio::time::sleep(Duration::from_millis(6_500)).await;
+        cluster.world.apply(outage, false).unwrap();
+        // The bound holds for instances that have reached the store for a second.
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        let changed_at = Instant::now();
+        cluster.world.add_database("db-new");
+        cluster.wait_until_served(&[0], "db-new").await;
+        let delay = changed_at.elapsed();
+        assert!(delay < CONFIG_BOUND, "{delay:?}");
+        cluster.stop().await;
+    });
+}
+
 /// Guards against restarted instances that serve a removed database again, because they follow a
 /// reader that the store does not answer and that has therefore not seen the removal.
 #[test]
--- a/crates/runner/src/watch.rs
+++ b/crates/runner/src/watch.rs
@@ -74,6 +74,12 @@
 /// again.
 const UNPLACED_READ_TIME: Duration = Duration::from_secs(10);
 
+/// Longest time for which a watch call of an instance without a reader place waits for changes.
+///
+/// It has no lease renewals that show that the store lost the call, so the loss shows with the time
+/// limit of the call, which has to be below the time in which a configuration comes into force.
+const UNPLACED_WATCH_WAIT: Duration = Duration::from_secs(1);
+
 /// Pause before the next watch call after changes that are not urgent.
 ///
 /// Changes in quick succession, such as starts of several instances or successive configurations,
@@ -342,8 +348,12 @@
                 None => std::future::pending().await,
             }
         };
+        let wait = match place {
+            Some(_) => self.parts.wait,
+            None => self.parts.wait.min(UNPLACED_WATCH_WAIT),
+        };
         let changes = tokio::select! {
-            changes = self.parts.store.watch(prefix, after, self.parts.wait) => changes?,
+            changes = self.parts.store.watch(prefix, after, wait) => changes?,
             () = interruption => return Ok(None),
         };
         let last = changes.iter().map(|change| change.revision).max();
