--- a/crates/heatherhollow/tests/following.rs
+++ b/crates/heatherhollow/tests/following.rs
@@ -25,6 +25,9 @@
 /// The operators' bound for the time until a configuration takes effect.
 const CONFIG_BOUND: Duration = Duration::from_secs(3);
 
+/// The operators' bound for the time until an instance is in touch again after an outage.
+const CONTACT_BOUND: Duration = Duration::from_secs(4);
+
 /// Returns the instances that read the store, and the instances that follow them.
 fn readers_and_followers(cluster: &Cluster) -> (Vec<usize>, Vec<usize>) {
     let is_reader = |i: &usize| cluster.count_events(*i, "reader_place_taken") > 0;
@@ -171,6 +174,44 @@
     });
 }
 
+/// Guards against a late configuration after an outage that is shorter than the pause between two
+/// renewals, in which a reader loses a watch although the store answers each renewal.
+#[test]
+fn watch_lost_between_renewals_is_repeated_in_time() {
+    run(async {
+        let mut cluster = Cluster::start("short", 1).await;
+        cluster.wait_until_served(&[0], "db-present").await;
+        wait_until_renewed(&cluster).await;
+        // The watch that reports this change is sent again 400 ms later.
+        cluster.world.add_database("db-before");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let outage = SoakFault::StoreLink(0, ProxyMode::Silent);
+        cluster.world.apply(outage, true).unwrap();
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        cluster.world.apply(outage, false).unwrap();
+        let ended_at = Instant::now();
+        cluster.world.add_database("db-new");
+        cluster.wait_until_served(&[0], "db-new").await;
+        let delay = ended_at.elapsed();
+        assert!(delay < CONTACT_BOUND, "{delay:?}");
+        cluster.stop().await;
+    });
+}
+
+/// Waits until the store answers a renewal of the only reader place that is held.
+async fn wait_until_renewed(cluster: &Cluster) {
+    let started_at = Instant::now();
+    let renewed_at = || (0..4).find_map(|place| cluster.world.renewed_at(&place_path(place)));
+    while renewed_at().is_none_or(|renewed_at| renewed_at < started_at) {
+        assert!(started_at.elapsed() < WAIT_LIMIT, "no renewal");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn place_path(place: usize) -> String {
+    format!("heatherhollow/readers/dc/{place}")
+}
+
 /// Guards against a late configuration at an instance that reads the store without a reader place,
 /// and thus without renewals that show the end of an outage.
 #[test]
@@ -179,9 +220,8 @@
         let mut cluster = Cluster::start("unplaced", 1).await;
         cluster.wait_until_served(&[0], "db-present").await;
         for place in 0..4 {
-            let path = format!("heatherhollow/readers/dc/{place}");
             let holder = json!({ "instance": "unreachable", "address": "127.0.0.1:9" });
-            cluster.world.write_entry(&path, &holder);
+            cluster.world.write_entry(&place_path(place), &holder);
         }
         let restarted = SoakFault::Kill(0);
         cluster.world.apply(restarted, true).unwrap();
