--- a/crates/runner/src/settings.rs
+++ b/crates/runner/src/settings.rs
@@ -30,8 +30,9 @@
     /// Time from the signal to stop until idle sessions are closed. In this time two readiness
     /// probes fail, as the platform probes once a second, and no new sessions arrive any more.
     pub stop_notice: Duration,
-    /// Maximum time that a watch call on the store waits for changes. A lost answer is detected 1.5
-    /// s after this time; unreachable instances count as out of touch for as long.
+    /// Maximum time that a watch call on the store waits for changes. A lost call is detected 1 s
+    /// after this time, which must be well below the 4 s after an outage of the store from which on
+    /// the operators expect configurations in force.
     pub max_watch_wait: Duration,
     /// Lease of the promotion duty. It is long enough for the steps of a promotion, and short
     /// enough that another instance can soon take over the duty of a crashed one.
@@ -62,7 +63,7 @@
             stop_grace: Duration::from_secs(6),
             drain_limit: Duration::from_secs(7),
             stop_notice: Duration::from_millis(2_200),
-            max_watch_wait: Duration::from_secs(4),
+            max_watch_wait: Duration::from_secs(2),
             duty_lease: Duration::from_millis(2_500),
             member_lease: Duration::from_secs(15),
             reader_lease: Duration::from_secs(8),
