--- a/crates/heatherhollow/tests/following.rs
+++ b/crates/heatherhollow/tests/following.rs
@@ -201,7 +201,8 @@
 /// Waits until the store answers a renewal of the only reader place that is held.
 async fn wait_until_renewed(cluster: &Cluster) {
     let started_at = Instant::now();
-    let renewed_at = || (0..4).find_map(|place| cluster.world.renewed_at(&place_path(place)));
+    let renewed_at =
+        || (0..4).find_map(|place| cluster.world.store().renewed_at(&place_path(place)));
     while renewed_at().is_none_or(|renewed_at| renewed_at < started_at) {
         assert!(started_at.elapsed() < WAIT_LIMIT, "no renewal");
         tokio::time::sleep(Duration::from_millis(5)).await;
@@ -221,7 +222,8 @@
         cluster.wait_until_served(&[0], "db-present").await;
         for place in 0..4 {
             let holder = json!({ "instance": "unreachable", "address": "127.0.0.1:9" });
-            cluster.world.write_entry(&place_path(place), &holder);
+            let holder = Some(holder.to_string().into_bytes());
+            cluster.world.store().put(&place_path(place), holder);
         }
         let restarted = SoakFault::Kill(0);
         cluster.world.apply(restarted, true).unwrap();
@@ -245,6 +247,36 @@
     });
 }
 
+/// Guards against an old configuration at readers and followers that go on from a revision which
+/// the store lost and then gave out again.
+#[test]
+fn configuration_of_a_restored_store_takes_effect_in_time() {
+    run(async {
+        let mut cluster = start_settled_cluster("restored").await;
+        let all = (0..INSTANCES).collect::<Vec<_>>();
+        let copy = cluster.world.store().copy();
+        write_entries(&cluster, "lost", 10);
+        // Readers collect changes for 400 ms before they watch from the last one.
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        cluster.world.store().restore(&copy);
+        let restored_at = Instant::now();
+        cluster.world.add_database("db-new");
+        write_entries(&cluster, "written-again", 20);
+        cluster.wait_until_served(&all, "db-new").await;
+        let delay = restored_at.elapsed();
+        assert!(delay < CONFIG_BOUND, "{delay:?}");
+        cluster.stop().await;
+    });
+}
+
+/// Writes entries as instances would, which the store loses when it comes back from a copy.
+fn write_entries(cluster: &Cluster, name: &str, count: usize) {
+    for i in 0..count {
+        let path = format!("heatherhollow/{name}-{i}");
+        cluster.world.store().put(&path, Some(Vec::new()));
+    }
+}
+
 /// Guards against restarted instances that serve a removed database again, because they follow a
 /// reader that the store does not answer and that has therefore not seen the removal.
 #[test]
