Let revisions of the store carry its era

Cause: revisions are compared across eras. The store gives revisions out again, so a watch that resumes at one of the era before gets no 410 and misses what was written below it. Followers and copies between readers compare revisions in the same way, and promotion tokens are revisions.

The store's client reads the era of each answer. A revision has the era in its upper bits, so that all places that compare revisions, also in frames and tokens, put a later era after an earlier one; the frames keep their form. A watch of an earlier era ends with HistoryGone, at once when an answer to another call shows the new era. Answers of an earlier era, lists whose pages are of two eras and swaps that expect a revision of an earlier era are not taken.

Ruled out: giving up at a lower revision. The revision may be in use again before the next call.

--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -4,6 +4,7 @@
 //! Implementations only carry calls and answers: decisions are made by their callers.
 
 mod clock;
+mod era;
 mod instance_list;
 mod peers;
 mod store;
@@ -11,6 +12,8 @@
 
 pub use clock::ClockPort;
 pub use clock::TokioClock;
+pub use era::EraObserver;
+pub use era::StoreEra;
 pub use instance_list::InstanceEntry;
 pub use instance_list::InstanceListError;
 pub use instance_list::InstanceListPort;
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -6,13 +6,41 @@
 use async_trait::async_trait;
 use displaydoc::Display;
 
+use crate::era::StoreEra;
+
+/// Number of bits of the store's own number in a [`StoreRevision`].
+const NUMBER_BITS: u32 = 48;
+
 /// Revision of the whole store; every change increments it.
+///
+/// A store that comes back from a copy gives the numbers of revisions out again. The era is therefore
+/// the upper part of a revision and the store's number the lower one, so that revisions of different
+/// eras can be compared, also as plain numbers in frames and tokens.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StoreRevision(pub u64);
 
+impl StoreRevision {
+    /// Creates a revision; parts that are too large for their bits are cut to the largest ones.
+    pub fn new(era: StoreEra, number: u64) -> Self {
+        let largest_number = (1 << NUMBER_BITS) - 1;
+        let largest_era = u64::MAX >> NUMBER_BITS;
+        Self(era.0.min(largest_era) << NUMBER_BITS | number.min(largest_number))
+    }
+
+    /// Returns the era in which the store gave the revision out.
+    pub fn era(self) -> StoreEra {
+        StoreEra(self.0 >> NUMBER_BITS)
+    }
+
+    /// Returns the number that the store gave out in that era.
+    pub fn number(self) -> u64 {
+        self.0 & ((1 << NUMBER_BITS) - 1)
+    }
+}
+
 impl fmt::Display for StoreRevision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
+        write!(f, "{}.{}", self.era(), self.number())
     }
 }
 
@@ -88,7 +116,8 @@
 
     /// Stores `value` if the current revision is `expected`; `None` expects that there is no value.
     ///
-    /// With a lease, the value is deleted when the lease ends.
+    /// With a lease, the value is deleted when the lease ends. A revision of an earlier era is never
+    /// the current one.
     async fn compare_and_swap(
         &self,
         path: &str,
@@ -98,6 +127,9 @@
     ) -> Result<SwapReply, StoreError>;
 
     /// Waits for changes below a path after a revision; returns an empty list after about `wait`.
+    ///
+    /// Fails with [`StoreError::HistoryGone`] if the store has come back from a copy since the
+    /// revision, as soon as an answer to any call shows that.
     async fn watch(
         &self,
         prefix: &str,
@@ -105,6 +137,11 @@
         wait: Duration,
     ) -> Result<Vec<StoreChange>, StoreError>;
 
+    /// Returns the latest era that an answer of the store has shown.
+    fn era(&self) -> StoreEra {
+        StoreEra::default()
+    }
+
     /// Starts a lease; values that are bound to the lease are deleted when it ends.
     async fn grant_lease(&self, span: Duration) -> Result<LeaseId, StoreError>;
 
--- a/crates/runner/src/watch.rs
+++ b/crates/runner/src/watch.rs
@@ -224,7 +224,7 @@
     /// Returns false if the reader sent neither entries nor changes.
     async fn follow(&mut self, reader: SocketAddr) -> bool {
         let mut is_followed = false;
-        let error = match ReaderLink::open(reader, self.revision.unwrap_or_default()).await {
+        let error = match ReaderLink::open(reader, self.least_revision()).await {
             Ok(mut link) => loop {
                 match link.next().await {
                     Ok(ReaderUpdate::Wait) => {}
@@ -253,11 +253,11 @@
     /// The list of all entries then crosses between regions once and not once for each place.
     /// Returns `None` if none of `holders` provides the entries in time.
     async fn copy_entries(&mut self, holders: &[SocketAddr]) -> Option<StoreRevision> {
-        let known_revision = self.revision.unwrap_or_default();
+        let least_revision = self.least_revision();
         // Some holders may wait for entries of other holders, so all are asked in parallel.
         let mut copies = holders
             .iter()
-            .map(|reader| Box::pin(copy_entries_from(*reader, known_revision)))
+            .map(|reader| Box::pin(copy_entries_from(*reader, least_revision)))
             .collect::<FuturesUnordered<_>>();
         let copied = loop {
             if let Some(copied) = copies.next().await? {
@@ -272,6 +272,14 @@
         self.revision
     }
 
+    /// Returns the revision that the entries of a reader must have reached.
+    ///
+    /// Once the store has come back from a copy, entries of an earlier era are out of date.
+    fn least_revision(&self) -> StoreRevision {
+        let start_of_era = StoreRevision::new(self.parts.store.era(), 0);
+        self.revision.unwrap_or_default().max(start_of_era)
+    }
+
     fn handle_update(&mut self, update: ReaderUpdate) {
         match update {
             ReaderUpdate::Snapshot(entries, revision) => {
@@ -472,9 +480,9 @@
 /// entries within [`COPY_TIMEOUT`].
 async fn copy_entries_from(
     reader: SocketAddr,
-    known_revision: StoreRevision,
+    least_revision: StoreRevision,
 ) -> Option<CopiedEntries> {
-    let (mut link, mut update) = timeout(COPY_START_TIMEOUT, first_update(reader, known_revision))
+    let (mut link, mut update) = timeout(COPY_START_TIMEOUT, first_update(reader, least_revision))
         .await
         .ok()?;
     let copy = async {
@@ -503,11 +511,11 @@
 /// Connects to a reader, again and again, until it sends a first update.
 async fn first_update(
     reader: SocketAddr,
-    known_revision: StoreRevision,
+    least_revision: StoreRevision,
 ) -> (ReaderLink, ReaderUpdate) {
     loop {
         let attempt = async {
-            let mut link = ReaderLink::open(reader, known_revision).await?;
+            let mut link = ReaderLink::open(reader, least_revision).await?;
             let update = link.next().await?;
             Ok::<_, String>((link, update))
         };
