End leases with the era in which the store granted them

An instance whose entry, or reader place, was written after the copy that the store came back from was not seen by others for as long as it renewed the lease, which the copy contained.

Cause: the same class as the revisions, a number of the store taken for the same thing in another era. A lease may be there without what it was for, or its number may be another lease's.

A lease id has the era. Renewals, swaps and ends under a lease of an earlier era are not sent, or not taken if the answer is of a later one, and members and holders of reader places write their entries again as soon as an answer shows a later era.

--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -44,9 +44,16 @@
     }
 }
 
-/// Id of a lease.
+/// Id of a lease, which ends with the era in which the store granted it.
+///
+/// A later era may lack what was written under the lease, or give its number to another lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct LeaseId(pub u64);
+pub struct LeaseId {
+    /// Era in which the lease was granted.
+    pub era: StoreEra,
+    /// Number that the store gave it.
+    pub number: u64,
+}
 
 /// A value with the revision of its last change.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -142,12 +149,22 @@
         StoreEra::default()
     }
 
+    /// Waits until an answer of the store shows a later era than `era`.
+    async fn wait_for_era_after(&self, _era: StoreEra) {
+        std::future::pending().await
+    }
+
     /// Starts a lease; values that are bound to the lease are deleted when it ends.
     async fn grant_lease(&self, span: Duration) -> Result<LeaseId, StoreError>;
 
     /// Restarts the span of a lease.
+    ///
+    /// Fails with [`StoreError::LeaseEnded`] also if the store has come back from a copy since the
+    /// lease was granted.
     async fn renew_lease(&self, lease: LeaseId) -> Result<(), StoreError>;
 
     /// Ends a lease immediately, and deletes the values that are bound to it.
+    ///
+    /// Does nothing if the lease has ended.
     async fn end_lease(&self, lease: LeaseId) -> Result<(), StoreError>;
 }
--- a/crates/runner/src/duty.rs
+++ b/crates/runner/src/duty.rs
@@ -70,7 +70,7 @@
     /// Returns the lease and the token's number, or `None` if the duty is held.
     async fn try_acquire(&self) -> Result<Option<(LeaseId, u64)>, StoreError> {
         let lease = self.store.grant_lease(self.lease_span).await?;
-        let value = format!("{} lease {}", self.holder, lease.0).into_bytes();
+        let value = format!("{} lease {}", self.holder, lease.number).into_bytes();
         let swapped = self
             .store
             .compare_and_swap(DUTY_PATH, None, value.clone(), Some(lease))
--- a/crates/runner/src/membership.rs
+++ b/crates/runner/src/membership.rs
@@ -188,6 +188,8 @@
                     return store.end_lease(lease).await;
                 }
             }
+            // The store may lack the entry, although it may still have the lease.
+            () = store.wait_for_era_after(lease.era) => return Ok(()),
             () = sleep(lease_span / RENEWALS_PER_LEASE) => {}
         }
         match store.renew_lease(lease).await {
--- a/crates/runner/src/readers.rs
+++ b/crates/runner/src/readers.rs
@@ -318,6 +318,10 @@
                 }
                 return has_left;
             }
+            () = store.wait_for_era_after(lease.era) => {
+                info!("reader_place_ended");
+                return false;
+            }
             () = sleep(pause) => {}
         }
         match store.renew_lease(lease).await {
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -19,6 +19,7 @@
 use heatherhollow_ports::LeaseId;
 use heatherhollow_ports::StoreChange;
 use heatherhollow_ports::StoreEntry;
+use heatherhollow_ports::StoreEra;
 use heatherhollow_ports::StoreError;
 use heatherhollow_ports::StorePort;
 use heatherhollow_ports::StoreRevision;
@@ -512,7 +513,10 @@
         let core = self.core.clone();
         self.write(0, move |state| {
             state.last_lease += 1;
-            let id = LeaseId(state.last_lease);
+            let id = LeaseId {
+                era: StoreEra::default(),
+                number: state.last_lease,
+            };
             let ends_at = Instant::now() + span;
             state.leases.push(StoredLease { id, span, ends_at });
             tokio::spawn(core.run_lease(id, ends_at));
