Let the stand-in of the store come back from a copy

The in-memory stand-in can now come back from a copy: revisions and leases of the copy are given out again in a new era.

change_after_a_restore_takes_effect shows that settings written after the restore are in force. Settings that the store acknowledged and lost are not written again; they are as of the copy.

--- a/crates/proxy/tests/operator_settings.rs
+++ b/crates/proxy/tests/operator_settings.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use heatherhollow_control::GroupSettings;
 use heatherhollow_control::RegionSettings;
@@ -13,6 +14,7 @@
 use heatherhollow_control::TopologyDocument;
 use heatherhollow_control::TopologySettings;
 use heatherhollow_ports::StorePort;
+use heatherhollow_ports::StoreRevision;
 use heatherhollow_ports::TargetPort;
 use heatherhollow_ports::TokioClock;
 use heatherhollow_proxy::ChangeBase;
@@ -33,6 +35,9 @@
 use heatherhollow_types::DataCentre;
 use heatherhollow_types::TeamName;
 
+/// Time after which a wait fails.
+const WAIT_LIMIT: Duration = Duration::from_secs(20);
+
 struct NoTargets;
 
 impl TargetDirectory for NoTargets {
@@ -161,6 +166,48 @@
     assert_eq!(document.settings, settings("second"));
 }
 
+/// Guards against settings that stay out of force because the store came back from a copy and gave
+/// them a revision that an instance knows already.
+#[tokio::test]
+async fn change_after_a_restore_takes_effect() {
+    let (engine, store) = start_engine().await;
+    let in_force = || {
+        let status = engine.operator_status(|_| true);
+        let documents = status["settings"]["documents"].as_array().cloned();
+        let mut documents = documents.into_iter().flatten();
+        let found = documents.find(|document| document["path"] == "/teams/demo");
+        found.and_then(|document| document["revision"].as_u64())
+    };
+    let copy = store.copy();
+    for (id, group, expected) in [("c-1", "first", None), ("c-2", "second", Some(2))] {
+        let outcome = engine
+            .change_settings(&team(), change(id, group, expected))
+            .await;
+        assert!(matches!(outcome, Ok(SwapOutcome::Effective { .. })));
+    }
+    let wait_for = async |revision: u64| {
+        let started_at = Instant::now();
+        while in_force() != Some(revision) {
+            assert!(
+                started_at.elapsed() < WAIT_LIMIT,
+                "{revision} is not in force"
+            );
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    wait_for(3).await;
+    store.restore(copy);
+    let outcome = engine
+        .change_settings(&team(), change("c-3", "third", None))
+        .await;
+    let Ok(SwapOutcome::Effective { revision }) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(StoreRevision(revision).number(), 2);
+    wait_for(revision).await;
+    assert_eq!(stored(&store).1.settings, settings("third"));
+}
+
 /// Guards against a repeated change that is called lost although the list of changes does not reach
 /// back to its base, so that it may have taken effect.
 #[tokio::test]
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -46,5 +46,6 @@
 pub use storage::RowChange;
 pub use store::KeyValueStore;
 pub use store::ServiceOutage;
+pub use store::StoreCopy;
 pub use store::StoreCounters;
 pub use store::StoreSettings;
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -79,20 +79,29 @@
 }
 
 /// Latest change of a path; without a value it was removed.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct StoredValue {
     value: Option<Vec<u8>>,
     revision: StoreRevision,
     lease: Option<LeaseId>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct StoredLease {
     id: LeaseId,
     span: Duration,
     ends_at: Instant,
 }
 
+/// Contents of a [`KeyValueStore`] at a moment, from which it may come back.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    values: BTreeMap<String, StoredValue>,
+    revision: StoreRevision,
+    leases: Vec<StoredLease>,
+    last_lease: u64,
+}
+
 #[derive(Debug, Default)]
 struct StoreState {
     // A map, because paths of removed values stay in it.
@@ -183,6 +192,29 @@
         lock(&self.core.state).lost_replies += count;
     }
 
+    /// Takes a copy of the contents.
+    pub fn copy(&self) -> StoreCopy {
+        let state = lock(&self.core.state);
+        StoreCopy {
+            values: state.values.clone(),
+            revision: state.revision,
+            leases: state.leases.clone(),
+            last_lease: state.last_lease,
+        }
+    }
+
+    /// Comes back from a copy, in a new era.
+    ///
+    /// What was written since the copy is lost, and the numbers of its revisions and leases are given
+    /// out again. Leases of the copy have their whole span.
+    pub fn restore(&self, copy: StoreCopy) {
+        let leases = lock(&self.core.state).restore(copy);
+        for (lease, ends_at) in leases {
+            tokio::spawn(self.core.clone().run_lease(lease, ends_at));
+        }
+        self.core.notify();
+    }
+
     /// Calls so far.
     pub fn counters(&self) -> StoreCounters {
         lock(&self.core.state).counters
@@ -299,6 +331,32 @@
         Ok(SwapReply::Swapped(self.revision))
     }
 
+    /// Takes over a copy and returns its leases with their ends.
+    fn restore(&mut self, copy: StoreCopy) -> Vec<(LeaseId, Instant)> {
+        let era = StoreEra(self.era().0 + 1);
+        let in_era = |revision: StoreRevision| StoreRevision::new(era, revision.number());
+        let lease_in_era = |lease: LeaseId| LeaseId { era, ..lease };
+        let now = Instant::now();
+        self.revision = in_era(copy.revision);
+        self.last_lease = copy.last_lease;
+        self.values = copy.values;
+        for stored in self.values.values_mut() {
+            stored.revision = in_era(stored.revision);
+            stored.lease = stored.lease.map(lease_in_era);
+        }
+        self.leases = copy.leases;
+        for stored in &mut self.leases {
+            stored.id = lease_in_era(stored.id);
+            stored.ends_at = now + stored.span;
+        }
+        let leases = self.leases.iter();
+        leases.map(|stored| (stored.id, stored.ends_at)).collect()
+    }
+
+    fn era(&self) -> StoreEra {
+        self.revision.era()
+    }
+
     fn find_lease(&self, lease: LeaseId) -> Result<usize, usize> {
         self.leases.binary_search_by_key(&lease, |stored| stored.id)
     }
@@ -424,7 +482,13 @@
         let _waiting = WaitingWatch::start(core);
         loop {
             core.check_outage().await?;
-            let changes = lock(&core.state).changes_after(prefix, after);
+            let changes = {
+                let state = lock(&core.state);
+                if after.era() < state.era() {
+                    return Err(StoreError::HistoryGone);
+                }
+                state.changes_after(prefix, after)
+            };
             if !changes.is_empty() {
                 return Ok(changes);
             }
@@ -509,12 +573,24 @@
         self.reply(changes, bytes).await
     }
 
+    fn era(&self) -> StoreEra {
+        lock(&self.core.state).era()
+    }
+
+    async fn wait_for_era_after(&self, era: StoreEra) {
+        let mut changed = self.core.changed.subscribe();
+        while self.era() <= era {
+            // The sender lives as long as this handle.
+            let _is_open = changed.changed().await.is_ok();
+        }
+    }
+
     async fn grant_lease(&self, span: Duration) -> Result<LeaseId, StoreError> {
         let core = self.core.clone();
         self.write(0, move |state| {
             state.last_lease += 1;
             let id = LeaseId {
-                era: StoreEra::default(),
+                era: state.era(),
                 number: state.last_lease,
             };
             let ends_at = Instant::now() + span;
--- a/crates/standin/tests/services.rs
+++ b/crates/standin/tests/services.rs
@@ -21,6 +21,7 @@
 use heatherhollow_ports::PeerError;
 use heatherhollow_ports::PeerHandler;
 use heatherhollow_ports::PeerPort;
+use heatherhollow_ports::StoreEra;
 use heatherhollow_ports::StoreError;
 use heatherhollow_ports::StoreRevision;
 use heatherhollow_ports::SwapReply;
@@ -180,6 +181,38 @@
     assert_eq!(store.entries().len(), 1);
 }
 
+/// Guards against a stand-in that, after it came back from a copy, keeps what was written since, or
+/// takes revisions, leases or watches of before for its own.
+#[tokio::test(start_paused = true)]
+async fn store_that_comes_back_from_a_copy_starts_an_era() {
+    let (network, places) = network();
+    let store = KeyValueStore::new(StoreSettings::new(places[0].clone()), network);
+    let port = store.port(&places[0]);
+    let lease = port.grant_lease(Duration::from_secs(2)).await.unwrap();
+    let write =
+        |path: &'static str, expected| port.compare_and_swap(path, expected, vec![1], Some(lease));
+    let first = write("/a", None).await;
+    assert_eq!(first, Ok(SwapReply::Swapped(StoreRevision(1))));
+    let copy = store.copy();
+    write("/b", None).await.unwrap();
+    let (watch, ()) = futures::join!(port.watch("/", StoreRevision(2), LONG), async {
+        sleep(100 * MS).await;
+        store.restore(copy);
+    });
+    assert_eq!(watch, Err(StoreError::HistoryGone));
+    port.wait_for_era_after(StoreEra(0)).await;
+    let (entries, revision) = port.list("/").await.unwrap();
+    assert_eq!(revision, StoreRevision::new(StoreEra(1), 1));
+    assert_eq!(entries.len(), 1);
+    assert_eq!(port.renew_lease(lease).await, Err(StoreError::LeaseEnded));
+    let old = port
+        .compare_and_swap("/a", Some(StoreRevision(1)), vec![2], None)
+        .await;
+    assert_eq!(old, Ok(SwapReply::Conflict(Some(entries[0].clone()))));
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(store.entries(), Vec::new(), "the copied lease has ended");
+}
+
 /// Guards against faults of the store that have the wrong effect on values.
 #[tokio::test(start_paused = true)]
 async fn the_store_has_outages_and_loses_replies() {
