Let the store of the soak come back from copies among other faults

--restores N adds copies of the store and returns to them to the faults of a seed, drawn on their own so that the other faults stay as they are.

--- a/crates/heatherhollow/tests/following.rs
+++ b/crates/heatherhollow/tests/following.rs
@@ -255,13 +255,13 @@
         let mut cluster = start_settled_cluster("restored").await;
         let all = (0..INSTANCES).collect::<Vec<_>>();
         let copy = cluster.world.store().copy();
-        write_entries(&cluster, "lost", 10);
+        cluster.world.write_entries("lost", 10);
         // Readers collect changes for 400 ms before they watch from the last one.
         tokio::time::sleep(Duration::from_millis(600)).await;
         cluster.world.store().restore(&copy);
         let restored_at = Instant::now();
         cluster.world.add_database("db-new");
-        write_entries(&cluster, "written-again", 20);
+        cluster.world.write_entries("later", 20);
         cluster.wait_until_served(&all, "db-new").await;
         let delay = restored_at.elapsed();
         assert!(delay < CONFIG_BOUND, "{delay:?}");
@@ -269,14 +269,6 @@
     });
 }
 
-/// Writes entries as instances would, which the store loses when it comes back from a copy.
-fn write_entries(cluster: &Cluster, name: &str, count: usize) {
-    for i in 0..count {
-        let path = format!("heatherhollow/{name}-{i}");
-        cluster.world.store().put(&path, Some(Vec::new()));
-    }
-}
-
 /// Guards against restarted instances that serve a removed database again, because they follow a
 /// reader that the store does not answer and that has therefore not seen the removal.
 #[test]
--- a/crates/heatherhollow/tests/restored.rs
+++ b/crates/heatherhollow/tests/restored.rs
@@ -52,10 +52,7 @@
         cluster.wait_until_served(&present, "db-present").await;
         tokio::time::sleep(Duration::from_millis(1_500)).await;
         let copy = cluster.world.store().copy();
-        for i in 0..100 {
-            let path = format!("heatherhollow/lost-{i}");
-            cluster.world.store().put(&path, Some(Vec::new()));
-        }
+        cluster.world.write_entries("lost", 100);
         for _ in 0..2 {
             let primary = cluster.world.primary().unwrap();
             let crash = SoakFault::Crash(primary);
--- a/crates/heatherhollow/tests/soak.rs
+++ b/crates/heatherhollow/tests/soak.rs
@@ -86,3 +86,16 @@
     assert_eq!(report.violations, Vec::<String>::new());
     assert!(report.served > 100);
 }
+
+/// Guards against broken guarantees, missed configurations and promotion tokens that fall, when the
+/// store comes back from copies among other faults.
+#[test]
+fn promises_hold_when_the_store_comes_back_from_copies() {
+    let report = run_soak_with(SoakSettings {
+        seed: 12,
+        restores: 2,
+        ..SoakSettings::default()
+    });
+    assert_eq!(report.violations, Vec::<String>::new());
+    assert!(report.served > 100);
+}
