--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -22,6 +22,7 @@
 mod statement;
 mod storage;
 mod store;
+mod store_contents;
 mod sync;
 mod target;
 
@@ -46,6 +47,6 @@
 pub use storage::RowChange;
 pub use store::KeyValueStore;
 pub use store::ServiceOutage;
-pub use store::StoreCopy;
 pub use store::StoreCounters;
 pub use store::StoreSettings;
+pub use store_contents::StoreContents;
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -4,7 +4,6 @@
 //! more history than that. A path lies below a prefix if it is equal to it or goes on after it at a
 //! slash.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -28,12 +27,10 @@
 
 use crate::network::NetworkModel;
 use crate::network::NetworkPoint;
+use crate::store_contents::StoreContents;
 use crate::sync::lock;
 use crate::sync::run_detached;
 
-/// Longest value in bytes.
-const MAX_VALUE_BYTES: usize = 1_000_000;
-
 /// Size of a message beside its values.
 const MESSAGE_OVERHEAD_BYTES: usize = 64;
 
@@ -78,38 +75,9 @@
     pub waiting_watches: u64,
 }
 
-/// Latest change of a path; without a value it was removed.
-#[derive(Debug, Clone)]
-struct StoredValue {
-    value: Option<Vec<u8>>,
-    revision: StoreRevision,
-    lease: Option<LeaseId>,
-}
-
-#[derive(Debug, Clone)]
-struct StoredLease {
-    id: LeaseId,
-    span: Duration,
-    ends_at: Instant,
-}
-
-/// Contents of a [`KeyValueStore`] at a moment, from which it may come back.
-#[derive(Debug, Clone)]
-pub struct StoreCopy {
-    values: BTreeMap<String, StoredValue>,
-    revision: StoreRevision,
-    leases: Vec<StoredLease>,
-    last_lease: u64,
-}
-
 #[derive(Debug, Default)]
 struct StoreState {
-    // A map, because paths of removed values stay in it.
-    values: BTreeMap<String, StoredValue>,
-    revision: StoreRevision,
-    /// Sorted by id.
-    leases: Vec<StoredLease>,
-    last_lease: u64,
+    contents: StoreContents,
     counters: StoreCounters,
     outage: Option<ServiceOutage>,
     slowness: Duration,
@@ -193,22 +161,16 @@
     }
 
     /// Takes a copy of the contents.
-    pub fn copy(&self) -> StoreCopy {
-        let state = lock(&self.core.state);
-        StoreCopy {
-            values: state.values.clone(),
-            revision: state.revision,
-            leases: state.leases.clone(),
-            last_lease: state.last_lease,
-        }
+    pub fn copy(&self) -> StoreContents {
+        lock(&self.core.state).contents.clone()
     }
 
     /// Comes back from a copy, in a new era.
     ///
     /// What was written since the copy is lost, and the numbers of its revisions and leases are given
     /// out again. Leases of the copy have their whole span.
-    pub fn restore(&self, copy: StoreCopy) {
-        let leases = lock(&self.core.state).restore(copy);
+    pub fn restore(&self, copy: StoreContents) {
+        let leases = lock(&self.core.state).contents.restore(copy);
         for (lease, ends_at) in leases {
             tokio::spawn(self.core.clone().run_lease(lease, ends_at));
         }
@@ -222,7 +184,7 @@
 
     /// All values, sorted by path.
     pub fn entries(&self) -> Vec<StoreEntry> {
-        lock(&self.core.state).list("")
+        lock(&self.core.state).contents.list("")
     }
 }
 
@@ -248,141 +210,18 @@
         loop {
             sleep_until(ends_at).await;
             let mut state = lock(&self.state);
-            let Ok(i) = state.find_lease(lease) else {
-                return;
-            };
-            ends_at = state.leases[i].ends_at;
-            if ends_at <= Instant::now() {
-                state.end_lease(i);
-                drop(state);
-                self.notify();
-                return;
+            match state.contents.end_lease_if_due(lease) {
+                Some(later) => ends_at = later,
+                None => {
+                    drop(state);
+                    self.notify();
+                    return;
+                }
             }
         }
     }
 }
 
-impl StoreState {
-    fn entry(&self, path: &str) -> Option<StoreEntry> {
-        let stored = self.values.get(path)?;
-        Some(StoreEntry {
-            path: path.to_string(),
-            value: stored.value.clone()?,
-            revision: stored.revision,
-        })
-    }
-
-    fn list(&self, prefix: &str) -> Vec<StoreEntry> {
-        let paths = self.values.keys().filter(|path| is_below(path, prefix));
-        paths.filter_map(|path| self.entry(path)).collect()
-    }
-
-    fn changes_after(&self, prefix: &str, after: StoreRevision) -> Vec<StoreChange> {
-        if after >= self.revision {
-            return Vec::new();
-        }
-        let newer = self
-            .values
-            .iter()
-            .filter(|(path, stored)| stored.revision > after && is_below(path, prefix));
-        let mut changes: Vec<_> = newer
-            .map(|(path, stored)| StoreChange {
-                path: path.clone(),
-                value: stored.value.clone(),
-                revision: stored.revision,
-            })
-            .collect();
-        changes.sort_by_key(|change| change.revision);
-        changes
-    }
-
-    fn store(&mut self, path: &str, value: Option<Vec<u8>>, lease: Option<LeaseId>) {
-        self.revision = StoreRevision(self.revision.0 + 1);
-        let stored = StoredValue {
-            value,
-            revision: self.revision,
-            lease,
-        };
-        self.values.insert(path.to_string(), stored);
-    }
-
-    fn swap(
-        &mut self,
-        path: &str,
-        expected: Option<StoreRevision>,
-        value: Vec<u8>,
-        lease: Option<LeaseId>,
-    ) -> Result<SwapReply, StoreError> {
-        if value.len() > MAX_VALUE_BYTES {
-            let detail = format!(
-                "the value has {} bytes, more than the limit of {MAX_VALUE_BYTES}",
-                value.len()
-            );
-            return Err(StoreError::Rejected(detail));
-        }
-        if lease.is_some_and(|lease| self.find_lease(lease).is_err()) {
-            return Err(StoreError::LeaseEnded);
-        }
-        let present = self.entry(path);
-        if present.as_ref().map(|entry| entry.revision) != expected {
-            return Ok(SwapReply::Conflict(present));
-        }
-        self.store(path, Some(value), lease);
-        Ok(SwapReply::Swapped(self.revision))
-    }
-
-    /// Takes over a copy and returns its leases with their ends.
-    fn restore(&mut self, copy: StoreCopy) -> Vec<(LeaseId, Instant)> {
-        let era = StoreEra(self.era().0 + 1);
-        let in_era = |revision: StoreRevision| StoreRevision::new(era, revision.number());
-        let lease_in_era = |lease: LeaseId| LeaseId { era, ..lease };
-        let now = Instant::now();
-        self.revision = in_era(copy.revision);
-        self.last_lease = copy.last_lease;
-        self.values = copy.values;
-        for stored in self.values.values_mut() {
-            stored.revision = in_era(stored.revision);
-            stored.lease = stored.lease.map(lease_in_era);
-        }
-        self.leases = copy.leases;
-        for stored in &mut self.leases {
-            stored.id = lease_in_era(stored.id);
-            stored.ends_at = now + stored.span;
-        }
-        let leases = self.leases.iter();
-        leases.map(|stored| (stored.id, stored.ends_at)).collect()
-    }
-
-    fn era(&self) -> StoreEra {
-        self.revision.era()
-    }
-
-    fn find_lease(&self, lease: LeaseId) -> Result<usize, usize> {
-        self.leases.binary_search_by_key(&lease, |stored| stored.id)
-    }
-
-    fn end_lease(&mut self, index: usize) {
-        let lease = self.leases.remove(index).id;
-        let bound = self.values.iter();
-        let bound: Vec<_> = bound
-            .filter(|(_, stored)| stored.lease == Some(lease))
-            .map(|(path, _)| path.clone())
-            .collect();
-        for path in bound {
-            self.store(&path, None, None);
-        }
-    }
-}
-
-fn is_below(path: &str, prefix: &str) -> bool {
-    match path.strip_prefix(prefix) {
-        Some(rest) => {
-            rest.is_empty() || rest.starts_with('/') || prefix.is_empty() || prefix.ends_with('/')
-        }
-        None => false,
-    }
-}
-
 /// Kinds of call, for the counters and for lost replies.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StoreCall {
@@ -427,11 +266,11 @@
     async fn read<T>(
         &self,
         request_bytes: usize,
-        apply: impl FnOnce(&StoreState) -> T,
+        apply: impl FnOnce(&StoreContents) -> T,
         reply_bytes: impl FnOnce(&T) -> usize,
     ) -> Result<T, StoreError> {
         let arrived = self.arrive(StoreCall::Read, request_bytes).await;
-        let value = arrived.map(|()| apply(&lock(&self.core.state)));
+        let value = arrived.map(|()| apply(&lock(&self.core.state).contents));
         let bytes = value.as_ref().map_or(0, reply_bytes);
         self.reply(value, bytes).await
     }
@@ -441,7 +280,7 @@
     async fn write<T: Send + 'static>(
         &self,
         request_bytes: usize,
-        apply: impl FnOnce(&mut StoreState) -> Result<T, StoreError> + Send + 'static,
+        apply: impl FnOnce(&mut StoreContents) -> Result<T, StoreError> + Send + 'static,
     ) -> Result<T, StoreError> {
         let handle = self.clone();
         run_detached(async move { handle.run_write(request_bytes, apply).await }).await
@@ -450,14 +289,14 @@
     async fn run_write<T>(
         &self,
         request_bytes: usize,
-        apply: impl FnOnce(&mut StoreState) -> Result<T, StoreError>,
+        apply: impl FnOnce(&mut StoreContents) -> Result<T, StoreError>,
     ) -> Result<T, StoreError> {
         if let Err(error) = self.arrive(StoreCall::Write, request_bytes).await {
             return self.reply(Err(error), 0).await;
         }
         let (reply, is_lost) = {
             let mut state = lock(&self.core.state);
-            let reply = apply(&mut state);
+            let reply = apply(&mut state.contents);
             let is_lost = reply.is_ok() && state.lost_replies > 0;
             state.lost_replies -= usize::from(is_lost);
             (reply, is_lost)
@@ -484,10 +323,10 @@
             core.check_outage().await?;
             let changes = {
                 let state = lock(&core.state);
-                if after.era() < state.era() {
+                if after.era() < state.contents.era() {
                     return Err(StoreError::HistoryGone);
                 }
-                state.changes_after(prefix, after)
+                state.contents.changes_after(prefix, after)
             };
             if !changes.is_empty() {
                 return Ok(changes);
@@ -529,14 +368,14 @@
 impl StorePort for StoreHandle {
     async fn get(&self, path: &str) -> Result<Option<StoreEntry>, StoreError> {
         let reply_bytes = |entry: &Option<StoreEntry>| entry.as_ref().map_or(0, entry_bytes);
-        self.read(path.len(), |state| state.entry(path), reply_bytes)
+        self.read(path.len(), |contents| contents.entry(path), reply_bytes)
             .await
     }
 
     async fn list(&self, prefix: &str) -> Result<(Vec<StoreEntry>, StoreRevision), StoreError> {
         self.read(
             prefix.len(),
-            |state| (state.list(prefix), state.revision),
+            |contents| (contents.list(prefix), contents.revision()),
             |(entries, _)| entries.iter().map(entry_bytes).sum(),
         )
         .await
@@ -551,7 +390,7 @@
     ) -> Result<SwapReply, StoreError> {
         let bytes = path.len() + value.len();
         let path = path.to_string();
-        let swap = move |state: &mut StoreState| state.swap(&path, expected, value, lease);
+        let swap = move |contents: &mut StoreContents| contents.swap(&path, expected, value, lease);
         self.write(bytes, swap).await
     }
 
@@ -574,7 +413,7 @@
     }
 
     fn era(&self) -> StoreEra {
-        lock(&self.core.state).era()
+        lock(&self.core.state).contents.era()
     }
 
     async fn wait_for_era_after(&self, era: StoreEra) {
@@ -587,37 +426,22 @@
 
     async fn grant_lease(&self, span: Duration) -> Result<LeaseId, StoreError> {
         let core = self.core.clone();
-        self.write(0, move |state| {
-            state.last_lease += 1;
-            let id = LeaseId {
-                era: state.era(),
-                number: state.last_lease,
-            };
-            let ends_at = Instant::now() + span;
-            state.leases.push(StoredLease { id, span, ends_at });
-            tokio::spawn(core.run_lease(id, ends_at));
-            Ok(id)
+        self.write(0, move |contents| {
+            let (lease, ends_at) = contents.grant_lease(span);
+            tokio::spawn(core.run_lease(lease, ends_at));
+            Ok(lease)
         })
         .await
     }
 
     async fn renew_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
-        self.write(0, move |state| {
-            let i = state
-                .find_lease(lease)
-                .map_err(|_| StoreError::LeaseEnded)?;
-            let stored = &mut state.leases[i];
-            stored.ends_at = Instant::now() + stored.span;
-            Ok(())
-        })
-        .await
+        self.write(0, move |contents| contents.renew_lease(lease))
+            .await
     }
 
     async fn end_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
-        self.write(0, move |state| {
-            if let Ok(i) = state.find_lease(lease) {
-                state.end_lease(i);
-            }
+        self.write(0, move |contents| {
+            contents.end_lease(lease);
             Ok(())
         })
         .await
