--- a/crates/heatherhollow/tests/restored.rs
+++ b/crates/heatherhollow/tests/restored.rs
@@ -33,11 +33,17 @@
     run(async {
         let cluster = Cluster::start("lease", 1).await;
         let store = cluster.world.store();
-        let has_entry = || store.renewed_at(MEMBER_PATH).is_some();
-        wait_until("the instance has no entry", has_entry).await;
-        store.restore(&store.copy().without(MEMBER_PATH));
-        assert!(!has_entry());
-        wait_until("the entry is not written again", has_entry).await;
+        let is_written_since =
+            |start: Instant| store.renewed_at(MEMBER_PATH).is_some_and(|at| at >= start);
+        let started_at = Instant::now();
+        wait_until("the instance has no entry", || is_written_since(started_at)).await;
+        let copy = store.copy().without(MEMBER_PATH);
+        let restored_at = Instant::now();
+        store.restore(&copy);
+        wait_until("the entry is not written again", || {
+            is_written_since(restored_at)
+        })
+        .await;
         cluster.stop().await;
     });
 }
