Show that a long log line blocks an instance

Cause: a line is written whole once the pipe has room for a page, but lines carry names from clients of any length.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -10,6 +10,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -349,6 +350,8 @@
     group: Arc<Group>,
     front: SocketAddr,
     instance: Child,
+    /// Whether the platform reads the instance's log lines now.
+    reads_logs: Arc<AtomicBool>,
 }
 
 fn free_port() -> u16 {
@@ -410,16 +413,29 @@
                  [Cloud]\nAddress = \"{store_address}\"\n"
             ),
         )?;
-        let log = File::create(format!("{folder}/instance.log"))?;
-        let instance = Command::new(program)
+        // The platform reads what the instance writes, through a pipe.
+        let mut instance = Command::new(program)
             .arg("--platform")
             .env("HEATHERHOLLOW_SETTINGS", &settings)
             .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
             .spawn()?;
+        let reads_logs = Arc::new(AtomicBool::new(true));
+        let mut output = instance.stdout.take().expect("the output is a pipe");
+        let is_reading = reads_logs.clone();
+        thread::spawn(move || {
+            let mut bytes = [0; 4096];
+            loop {
+                if !is_reading.load(Ordering::Relaxed) {
+                    thread::sleep(Duration::from_millis(20));
+                } else if output.read(&mut bytes).map_or(true, |count| count == 0) {
+                    return;
+                }
+            }
+        });
         let front = SocketAddr::from(([127, 0, 0, 1], front));
-        Ok(Self { record, group, front, instance })
+        Ok(Self { record, group, front, instance, reads_logs })
     }
 
     /// Opens a session; an attempt that fails is repeated for ten seconds.
@@ -509,6 +525,47 @@
     Ok(is_broken)
 }
 
+/// The reader of the log lines pauses for six seconds, and a client names a long database that never
+/// existed. Another client writes once in 200 ms meanwhile, with a deadline of 4 s for each write.
+fn play_log_pause(world: &World, has_trouble: bool) -> Result<bool, String> {
+    let mut session = world.session().ok_or("no session")?;
+    let warm_up = Instant::now();
+    while !world.ask(&mut session, "QUERY warm WRITE 1a0 ready").contains("COMPLETE 7.") {
+        if warm_up.elapsed() > Duration::from_secs(10) {
+            return Err("no write succeeds".to_string());
+        }
+        thread::sleep(Duration::from_millis(200));
+        session = world.session().ok_or("no session")?;
+    }
+    let began_at = Instant::now();
+    let mut is_broken = false;
+    let name = "x".repeat(200_000);
+    for number in 0..25 {
+        if number == 2 {
+            world.reads_logs.store(!has_trouble, Ordering::Relaxed);
+            world.record.note(&format!("the reader of the log pauses: {has_trouble}"));
+            let mut other = TcpStream::connect(world.front).map_err(|error| error.to_string())?;
+            other.write_all(format!("START {name} client\r\n").as_bytes()).map_err(|error| error.to_string())?;
+            world.record.note("another client sends START with a name of 200000 bytes");
+        }
+        let asked_at = Instant::now();
+        session.set_read_timeout(Some(Duration::from_secs(4))).unwrap();
+        let text = world.ask(&mut session, &format!("QUERY w{number} WRITE 1a4 data"));
+        if text.is_empty() {
+            let took = asked_at.elapsed().as_millis();
+            world.record.note(&format!("BROKEN the write w{number} got no answer in {took} ms"));
+            is_broken = true;
+            break;
+        }
+        if began_at.elapsed() > Duration::from_secs(6) {
+            break;
+        }
+        thread::sleep(Duration::from_millis(200));
+    }
+    world.reads_logs.store(true, Ordering::Relaxed);
+    Ok(is_broken)
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, program, folder, record] = &arguments[..] else {
@@ -526,6 +583,7 @@
     };
     let result = match case.as_str() {
         "line-feed" => play_line_feed(&world, has_trouble),
+        "log-pause" => play_log_pause(&world, has_trouble),
         other => Err(format!("unknown case {other}")),
     };
     let _ended = world.instance.kill();
