Show commits lost by a paused replica that restarts

Cause: a replica's report counts as a durable copy until the store shows a new entry, although a restart has ended the pause that a promotion needs.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -5,6 +5,9 @@
 //! Usage: standin CASE PROGRAM FOLDER RECORD. `TROUBLE=0` plays the case without its disruption.
 //! Exit code: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 
+#[path = "cluster.rs"]
+mod cluster;
+
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -15,11 +18,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use cluster::Cluster;
+
 /// Lines of the record, with the time since the start.
-struct Record(Instant, Mutex<File>);
+pub struct Record(Instant, Mutex<File>);
 
 impl Record {
-    fn note(&self, text: &str) {
+    pub fn note(&self, text: &str) {
         let at = self.0.elapsed().as_millis();
         let mut file = self.1.lock().unwrap();
         writeln!(file, "{at:>6} ms  {}", text.escape_debug()).unwrap();
@@ -29,14 +34,19 @@
 // ---- The store -------------------------------------------------------------------------------------
 
 #[derive(Default)]
-struct StoreState {
+pub struct StoreState {
     revision: u64,
     /// Value (base64 text; `None`: removed), revision and lease of each key.
     items: BTreeMap<String, (Option<String>, u64, u64)>,
     leases: BTreeMap<u64, (Duration, Instant)>,
 }
 
-struct Store(Mutex<StoreState>, Condvar);
+/// The platform of a case: the store and the call that promotes.
+pub struct Store {
+    state: Mutex<StoreState>,
+    changed: Condvar,
+    cluster: Option<Arc<Cluster>>,
+}
 
 impl StoreState {
     fn put(&mut self, key: &str, value: Option<String>, lease: u64) {
@@ -115,13 +125,22 @@
 }
 
 impl Store {
-    fn put(&self, key: &str, value: Option<&str>) {
+    fn new(cluster: Option<Arc<Cluster>>) -> Arc<Self> {
+        let (state, changed) = (Mutex::default(), Condvar::new());
+        Arc::new(Self { state, changed, cluster })
+    }
+
+    pub fn put(&self, key: &str, value: Option<&str>) {
         let value = value.map(|value| base64(value.as_bytes()));
-        self.0.lock().unwrap().put(key, value, 0);
-        self.1.notify_all();
+        self.state.lock().unwrap().put(key, value, 0);
+        self.changed.notify_all();
     }
 
-    fn answer(&self, method: &str, target: &str, body: &str) -> (u16, String) {
+    fn answer(&self, method: &str, target: &str, body: &str, token: u64) -> (u16, String) {
+        if let ("POST", "/promote", Some(cluster)) = (method, target, &self.cluster) {
+            let id = field(body, "Id").unwrap_or_default();
+            return (cluster.promote(&id, token), "{}".to_string());
+        }
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let query: BTreeMap<&str, String> = query
             .split('&')
@@ -129,7 +148,7 @@
             .map(|(name, value)| (name, percent_decode(value)))
             .collect();
         let text = |name: &str| query.get(name).cloned().unwrap_or_default();
-        let mut state = self.0.lock().unwrap();
+        let mut state = self.state.lock().unwrap();
         state.expire();
         match (method, path) {
             ("GET", "/api/kv-key") => match state.item(&text("Key")) {
@@ -169,7 +188,7 @@
                         return (200, format!("{{\"events\":[{events}],\"AsOf\":{as_of}}}"));
                     }
                     let pause = Duration::from_millis(100);
-                    state = self.1.wait_timeout(state, pause).unwrap().0;
+                    state = self.changed.wait_timeout(state, pause).unwrap().0;
                 }
             }
             ("POST", "/api/kv-txn") => {
@@ -191,7 +210,7 @@
                     return (404, "{}".to_string());
                 }
                 state.put(&key, field(put, "Value"), lease);
-                self.1.notify_all();
+                self.changed.notify_all();
                 (200, format!("{{\"Revision\":{}}}", state.revision))
             }
             ("POST", "/api/kv-lease") => {
@@ -207,7 +226,7 @@
                 if method == "DELETE" {
                     let known = state.leases.remove(&id).is_some();
                     state.expire();
-                    self.1.notify_all();
+                    self.changed.notify_all();
                     return (if known { 200 } else { 404 }, "{}".to_string());
                 }
                 match state.leases.get_mut(&id) {
@@ -232,7 +251,7 @@
             let mut words = line.split_whitespace();
             let method = words.next().unwrap_or_default().to_string();
             let target = words.next().unwrap_or_default().to_string();
-            let mut length = 0;
+            let (mut length, mut token) = (0, 0);
             loop {
                 let mut header = String::new();
                 reader.read_line(&mut header)?;
@@ -243,10 +262,13 @@
                 if let Some(value) = header.strip_prefix("content-length:") {
                     length = value.trim().parse().unwrap_or(0);
                 }
+                if let Some(value) = header.strip_prefix("x-fencing-token:") {
+                    token = value.trim().parse().unwrap_or(0);
+                }
             }
             let mut body = vec![0; length];
             reader.read_exact(&mut body)?;
-            let (status, body) = self.answer(&method, &target, &String::from_utf8_lossy(&body));
+            let (status, body) = self.answer(&method, &target, &String::from_utf8_lossy(&body), token);
             write!(
                 writer,
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
@@ -359,6 +381,47 @@
     listener.local_addr().unwrap().port()
 }
 
+/// The entry of a backend.
+pub fn entry_text(address: SocketAddr, role: &str, born: u64) -> String {
+    format!(
+        "{{\"Service\":\"{SERVICE}\",\"Address\":\"{address}\",\"Zone\":\"{ZONE}\",\"Version\":\"v1\",\
+         \"Slots\":3,\"State\":\"ready\",\"ColdRemainingMs\":0,\"Sequence\":1,\"DbRole\":\"{role}\",\"born\":{born}}}"
+    )
+}
+
+fn config_text() -> String {
+    format!(
+        "{{\"Version\":1,\"Routes\":[{{\"Name\":\"notes\",\"Database\":\"{DATABASE}\",\"Kind\":\"primary\",\
+         \"TimeoutMs\":1000,\"ObjectiveMs\":400,\"Priority\":1,\"Service\":\"{SERVICE}\"}}],\
+         \"Services\":[{{\"Name\":\"{SERVICE}\",\"MaxConnections\":22,\"SyncReplicas\":1}}],\
+         \"Limits\":{{\"TxIdleMs\":3000}}}}"
+    )
+}
+
+/// Writes the settings of an instance; returns their path and the address for clients.
+fn write_settings(
+    folder: &str,
+    name: &str,
+    zone: &str,
+    platform: SocketAddr,
+) -> std::io::Result<(String, SocketAddr)> {
+    let (front, ready, link) = (free_port(), free_port(), free_port());
+    let settings = format!("{folder}/{name}.toml");
+    std::fs::write(
+        &settings,
+        format!(
+            "NodeName = \"{name}\"\nRole = \"proxy\"\nMachineClass = \"front\"\nServes = [\"front\"]\n\
+             Ip = \"127.0.0.1\"\nZone = \"{zone}\"\nRegion = \"region-a\"\nInternalPorts = [{link},{link}]\n\
+             [Zones]\nzone-a = \"region-a\"\nzone-b = \"region-a\"\n[Listen]\nFront = \"127.0.0.1:{front}\"\n\
+             Ready = \"127.0.0.1:{ready}\"\n[Limits]\nCpuShare = 0.25\nCores = 1\nMemoryMb = 260\n\
+             [Bounds]\nGraceS = 6\nDrainMs = 7000\nConfigApplyMs = 3000\n\
+             [platform]\nAddress = \"{platform}\"\nMinTtlMs = 1000\n\
+             [Cloud]\nAddress = \"{platform}\"\n"
+        ),
+    )?;
+    Ok((settings, SocketAddr::from(([127, 0, 0, 1], front))))
+}
+
 fn listen(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
@@ -374,7 +437,7 @@
 
 impl World {
     fn start(program: &str, folder: &str, record: Arc<Record>) -> std::io::Result<Self> {
-        let store = Arc::new(Store(Mutex::default(), Condvar::new()));
+        let store = Store::new(None);
         let serving = store.clone();
         let store_address = listen(move |stream| drop(serving.clone().serve(stream)));
         let group = Arc::new(Group {
@@ -386,33 +449,10 @@
             let serving = group.clone();
             let address = listen(move |stream| drop(serving.clone().serve(backend, stream)));
             let role = if backend == 0 { "primary" } else { "replica" };
-            let entry = format!(
-                "{{\"Service\":\"{SERVICE}\",\"Address\":\"{address}\",\"Zone\":\"{ZONE}\",\"Version\":\"v1\",\
-                 \"Slots\":3,\"State\":\"ready\",\"ColdRemainingMs\":0,\"Sequence\":1,\"DbRole\":\"{role}\",\"born\":1}}"
-            );
-            store.put(&format!("servers/b{backend}"), Some(&entry));
+            store.put(&format!("servers/b{backend}"), Some(&entry_text(address, role, 1)));
         }
-        let config = format!(
-            "{{\"Version\":1,\"Routes\":[{{\"Name\":\"notes\",\"Database\":\"{DATABASE}\",\"Kind\":\"primary\",\
-             \"TimeoutMs\":1000,\"ObjectiveMs\":400,\"Priority\":1,\"Service\":\"{SERVICE}\"}}],\
-             \"Services\":[{{\"Name\":\"{SERVICE}\",\"MaxConnections\":22,\"SyncReplicas\":1}}],\
-             \"Limits\":{{\"TxIdleMs\":3000}}}}"
-        );
-        store.put("op/config", Some(&config));
-        let (front, ready, link) = (free_port(), free_port(), free_port());
-        let settings = format!("{folder}/local.toml");
-        std::fs::write(
-            &settings,
-            format!(
-                "NodeName = \"front-1\"\nRole = \"proxy\"\nMachineClass = \"front\"\nServes = [\"front\"]\n\
-                 Ip = \"127.0.0.1\"\nZone = \"{ZONE}\"\nRegion = \"region-a\"\nInternalPorts = [{link},{link}]\n\
-                 [Zones]\n{ZONE} = \"region-a\"\n[Listen]\nFront = \"127.0.0.1:{front}\"\n\
-                 Ready = \"127.0.0.1:{ready}\"\n[Limits]\nCpuShare = 0.25\nCores = 1\nMemoryMb = 260\n\
-                 [Bounds]\nGraceS = 6\nDrainMs = 7000\nConfigApplyMs = 3000\n\
-                 [platform]\nAddress = \"{store_address}\"\nMinTtlMs = 1000\n\
-                 [Cloud]\nAddress = \"{store_address}\"\n"
-            ),
-        )?;
+        store.put("op/config", Some(&config_text()));
+        let (settings, front) = write_settings(folder, "front-1", ZONE, store_address)?;
         // The platform reads what the instance writes, through a pipe.
         let mut instance = Command::new(program)
             .arg("--platform")
@@ -434,7 +474,6 @@
                 }
             }
         });
-        let front = SocketAddr::from(([127, 0, 0, 1], front));
         Ok(Self { record, group, front, instance, reads_logs })
     }
 
@@ -566,6 +605,123 @@
     Ok(is_broken)
 }
 
+/// Instances that are ended with the case.
+struct Instances(Vec<Child>);
+
+impl Drop for Instances {
+    fn drop(&mut self) {
+        for child in &mut self.0 {
+            let _ended = child.kill();
+            let _ended = child.wait();
+        }
+    }
+}
+
+/// The primary is cut off from one of two instances. That one pauses the replicas and orders the
+/// promotion of the last one. The other replica crashes after its pause and is back at once. Clients of the other
+/// instance write all the while.
+fn play_paused_restart(program: &str, folder: &str, record: Arc<Record>, has_trouble: bool) -> Result<bool, String> {
+    let text = |error: std::io::Error| error.to_string();
+    let cluster = Cluster::start(record.clone());
+    let store = Store::new(Some(cluster.clone()));
+    let serving = store.clone();
+    let platform = listen(move |stream| drop(serving.clone().serve(stream)));
+    let mut addresses = Vec::new();
+    for backend in 0..3 {
+        let serving = cluster.clone();
+        addresses.push(listen(move |stream| drop(serving.clone().serve(backend, stream))));
+        cluster.announce(&store, backend, addresses[backend]);
+    }
+    store.put("op/config", Some(&config_text()));
+    let mut instances = Instances(Vec::new());
+    let mut fronts = Vec::new();
+    for (name, zone) in [("front-1", "zone-a"), ("front-2", "zone-b")] {
+        let (settings, front) = write_settings(folder, name, zone, platform).map_err(text)?;
+        let log = File::create(format!("{folder}/{name}.log")).map_err(text)?;
+        let child = Command::new(program)
+            .arg("--platform")
+            .env("HEATHERHOLLOW_SETTINGS", &settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().map_err(text)?)
+            .stderr(log)
+            .spawn();
+        instances.0.push(child.map_err(text)?);
+        fronts.push(front);
+    }
+    let is_over = Arc::new(AtomicBool::new(false));
+    let mut clients = Vec::new();
+    // A session has one request at a time; each instance has two sessions.
+    for (number, front) in [fronts[0], fronts[1], fronts[0], fronts[1]].into_iter().enumerate() {
+        let (cluster, record, is_over) = (cluster.clone(), record.clone(), is_over.clone());
+        clients.push(thread::spawn(move || {
+            let mut count = 0;
+            while !is_over.load(Ordering::Relaxed) {
+                let Ok(mut stream) = TcpStream::connect(front) else {
+                    thread::sleep(Duration::from_millis(50));
+                    continue;
+                };
+                stream.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+                let started = stream.write_all(format!("START {DATABASE} client\r\n").as_bytes());
+                if started.is_err() || !answer(&mut stream).starts_with("READY I") {
+                    thread::sleep(Duration::from_millis(50));
+                    continue;
+                }
+                while !is_over.load(Ordering::Relaxed) {
+                    count += 1;
+                    let id = format!("c{number}-{count}");
+                    let sent = stream.write_all(format!("QUERY {id} WRITE 1a{number} data\r\n").as_bytes());
+                    let text = if sent.is_ok() { answer(&mut stream) } else { String::new() };
+                    if text.contains("COMPLETE 7.") {
+                        cluster.acknowledged.lock().unwrap().insert(id.clone());
+                    }
+                    record.note(&format!("client at front-{} gets for id={id}: {text}", number % 2 + 1));
+                    if !text.contains("READY I") {
+                        break;
+                    }
+                    thread::sleep(Duration::from_millis(30));
+                }
+            }
+        }));
+    }
+    thread::sleep(Duration::from_secs(5));
+    let served = cluster.acknowledged.lock().unwrap().len();
+    if has_trouble {
+        record.note("the first backend, the primary, is cut off from front-1");
+        *cluster.cut_instance.lock().unwrap() = Some("front-1".to_string());
+        let cut_at = Instant::now();
+        let ordered = || *cluster.ordered.lock().unwrap();
+        while ordered().is_none() && cut_at.elapsed() < Duration::from_millis(6_500) {
+            thread::sleep(Duration::from_millis(2));
+        }
+        if let Some(promoted) = ordered() {
+            thread::sleep(Duration::from_millis(60));
+            let other = 3 - promoted;
+            cluster.set_alive(other, false);
+            thread::sleep(Duration::from_millis(200));
+            cluster.set_alive(other, true);
+            // Its first entry comes after a sixth of a heartbeat. `ENTRY_MS` sets another time.
+            let delay = std::env::var("ENTRY_MS").ok().and_then(|text| text.parse().ok());
+            thread::sleep(Duration::from_millis(delay.unwrap_or(200)));
+            cluster.announce(&store, other, addresses[other]);
+        }
+        let left = Duration::from_millis(7_000).saturating_sub(cut_at.elapsed());
+        thread::sleep(left);
+        *cluster.cut_instance.lock().unwrap() = None;
+        record.note("the cut ends");
+    }
+    thread::sleep(Duration::from_secs(3));
+    is_over.store(true, Ordering::Relaxed);
+    for client in clients {
+        let _ended = client.join();
+    }
+    let violations = cluster.violations.lock().unwrap().len();
+    record.note(&format!("{served} commits before, {} promotions, {violations} violations", cluster.promotions.lock().unwrap()));
+    if served < 50 || (has_trouble && *cluster.promotions.lock().unwrap() == 0) {
+        return Err("too few commits, or no promotion".to_string());
+    }
+    Ok(violations > 0)
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, program, folder, record] = &arguments[..] else {
@@ -574,6 +730,16 @@
     };
     let has_trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
     let record = Arc::new(Record(Instant::now(), Mutex::new(File::create(record).unwrap())));
+    if case == "paused-restart" {
+        let result = play_paused_restart(program, folder, record.clone(), has_trouble);
+        let code = match &result {
+            Ok(false) => 0,
+            Ok(true) => 1,
+            Err(_) => 2,
+        };
+        record.note(&format!("result: {result:?} trouble={has_trouble} exit={code}"));
+        std::process::exit(code);
+    }
     let mut world = match World::start(program, folder, record.clone()) {
         Ok(world) => world,
         Err(error) => {
