Count no reports of targets that may have forgotten their pause

Cause: a pause ends with a restart, and instances learned of restarts only from the store, up to a heartbeat later. Evidence of leadership and the order of a promotion relied on pauses in the same way.

An answer shows that its target has not restarted since the connection was opened. A report now counts if that covers the 2 s before it was asked, the longest time from a pause to the effect of the promotion, or if the primary still leads and the other replicas report no pause since the target's run began: a promotion would have paused them. Before an order, a pause counts only while a connection to its target is open.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -349,6 +349,7 @@
             }
             pool.report = None;
             pool.max_seen = None;
+            pool.run = None;
             pool.open_backoff_until = now;
             state.tracker.remove_replica(target);
             self.close_pool(group, target, now);
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -17,7 +17,6 @@
 use crate::catalog::GroupRule;
 use crate::catalog::TargetEntry;
 use crate::message::ClientId;
-use crate::message::StatusReport;
 use crate::message::TargetCall;
 use crate::pool::ControlPurpose;
 use crate::pool::ControlRequest;
@@ -243,39 +242,6 @@
             .max(1)
     }
 
-    /// Returns whether some replica in [`Self::durable_replicas`] has the log up to a position.
-    ///
-    /// The primary's own report that some replica has a commit is not enough: a target takes
-    /// records before it is listed, and a promotion that does not know the target may lose them.
-    ///
-    /// Positions of an earlier term are not compared, since a later log need not contain them.
-    pub fn is_replicated(&self, position: GroupPosition, now: MonoTime) -> bool {
-        let is_of_term = position.term == self.term;
-        is_of_term
-            && self.durable_replicas(now).any(|(_, pool)| {
-                let has_position = |(_, report): (MonoTime, StatusReport)| {
-                    report.term == self.term && report.received >= position
-                };
-                let has_confirmed_position = pool
-                    .max_seen
-                    .is_some_and(|max_seen| max_seen.term == self.term && max_seen >= position);
-                has_confirmed_position || pool.report.is_some_and(has_position)
-            })
-    }
-
-    /// Iterates over the replicas whose copy of a commit survives a promotion: every instance knows
-    /// them, and they stay. The log of a leaving target goes with it, and a primary that stepped
-    /// down is no copy of its own commits.
-    pub fn durable_replicas(
-        &self,
-        now: MonoTime,
-    ) -> impl Iterator<Item = (TargetIndex, &TargetPool)> {
-        self.targets().filter(move |(i, pool)| {
-            let has_led = Some(*i) == self.primary || Some(*i) == self.last_primary;
-            !has_led && is_established(pool, now) && !pool.is_leaving()
-        })
-    }
-
     /// Updates the nominal size after targets were listed. Once set, it does not grow while a
     /// target is leaving, since the replacement of that target may be listed already.
     pub fn update_nominal_size(&mut self) {
@@ -529,19 +495,10 @@
 /// It is longer than a cut between a target and the store usually lasts.
 const REMOVED_TARGET_RETENTION: Duration = Duration::from_secs(120);
 
-/// Time after which all instances that can read the store know a listed target.
-const ESTABLISHED_AGE: Duration = Duration::from_millis(1_500);
-
 /// Time without a primary after which removed targets no longer count. They are unlikely to come
 /// back, and while they count the group may never reach the quorum for a promotion.
 const LONG_LEADERLESS_TIME: Duration = Duration::from_secs(15);
 
-/// Returns whether all instances know a target. A target whose entry is missing still counts, as it
-/// does in promotions.
-pub(crate) fn is_established(pool: &TargetPool, now: MonoTime) -> bool {
-    now.since(pool.listed_at) >= ESTABLISHED_AGE
-}
-
 /// Converts a position in the list of pools to a target index.
 pub(crate) fn to_target_index(i: usize) -> TargetIndex {
     TargetIndex(u16::try_from(i).expect("a group has fewer than 65,536 targets"))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod promotion_steps;
 mod queue_pass;
 mod relay;
+mod restarts;
 mod session;
 mod settings;
 mod shares;
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -5,7 +5,8 @@
 //! time, proves that no promotion had been ordered by then. A read of the primary that began before
 //! that time therefore saw every acknowledged commit, and one answer is evidence for all reads that
 //! began before it was asked for. A target that has just been listed is not asked, since the
-//! instance that ordered a promotion may not know the target yet.
+//! instance that ordered a promotion may not know the target yet. The report of a target that may
+//! have restarted, and so lost its pause, is evidence only together with others (`restarts`).
 
 use log::info;
 
@@ -17,7 +18,6 @@
 use crate::core::ConnectionLocation;
 use crate::core::SessionGateway;
 use crate::group::GroupIndex;
-use crate::group::is_established;
 use crate::message::StatusReport;
 use crate::message::TargetAnswer;
 use crate::message::TargetCall;
@@ -28,6 +28,7 @@
 use crate::pool::ControlPurpose;
 use crate::pool::PendingCall;
 use crate::pool::TargetPool;
+use crate::restarts::is_known_everywhere;
 
 impl SessionGateway {
     /// Handles the answer to a control call.
@@ -148,21 +149,6 @@
                     );
                     state.clear_primary(now);
                 }
-                let is_witness = state
-                    .pool(target)
-                    .is_some_and(|pool| is_established(pool, now));
-                let is_unpaused = report.paused_for.is_none();
-                if is_current && is_unpaused && is_witness && state.primary.is_some() {
-                    state.record_leadership(sent_at);
-                    // A report without evidence leaves the evidence call pending, so that the next
-                    // evidence call is delayed and goes to another replica.
-                    if state
-                        .evidence_call
-                        .is_some_and(|(checked, _)| checked == target)
-                    {
-                        state.evidence_call = None;
-                    }
-                }
             }
         }
         let state = &mut self.groups[group.0];
@@ -176,11 +162,38 @@
                 None => pool.paused_since = None,
             }
         }
+        self.observe_leadership(group, target, sent_at, now);
         self.groups[group.0].observe_quorum(now);
         self.groups[group.0].compare_log_ends(now);
         self.release_held_answers(group, now);
     }
 
+    /// Records evidence of leadership that a target's report has completed.
+    fn observe_leadership(
+        &mut self,
+        group: GroupIndex,
+        target: TargetIndex,
+        sent_at: MonoTime,
+        now: MonoTime,
+    ) {
+        let state = &mut self.groups[group.0];
+        if let Some(shown_at) = state.shown_leadership()
+            && state.leadership_proved_at < Some(shown_at)
+        {
+            state.record_leadership(shown_at);
+        }
+        // A report without evidence leaves the evidence call pending, so that the next evidence
+        // call is delayed and goes to another replica.
+        let is_evidence = state.leadership_proved_at >= Some(sent_at);
+        let is_checked = state.evidence_call.map(|(checked, _)| checked) == Some(target);
+        if is_checked && is_evidence {
+            state.evidence_call = None;
+        }
+        for witness in state.unasked_witnesses(target) {
+            state.queue_control(witness, ControlPurpose::Observe, TargetCall::Status, now);
+        }
+    }
+
     /// Asks a primary of an old term to step down.
     fn demote_primary(&mut self, group: GroupIndex, target: TargetIndex, now: MonoTime) {
         let interval = self.settings.observe_interval;
@@ -235,7 +248,7 @@
             })
             .collect::<Vec<_>>();
         // Having only targets that were just listed is no sign of being cut off from the group.
-        let is_new = |(_, pool): &(TargetIndex, &TargetPool)| !is_established(pool, now);
+        let is_new = |(_, pool): &(TargetIndex, &TargetPool)| !is_known_everywhere(pool, now);
         let waits_for_new = !witnesses.is_empty() && witnesses.iter().all(is_new);
         let last_asked = state.evidence_call.map(|(target, _)| target);
         let witness = witnesses
@@ -244,6 +257,7 @@
             .min_by_key(|(i, pool)| {
                 (
                     Some(*i) == last_asked,
+                    !state.has_kept_pauses(*i, now),
                     now < pool.backoff_until,
                     pool.any_idle_connection().is_none(),
                     self.identity.is_remote(&pool.entry.data_centre),
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -22,6 +22,7 @@
 use crate::message::ClientId;
 use crate::message::StatusReport;
 use crate::message::TargetCall;
+use crate::restarts::RunSpan;
 use crate::session::ClientSession;
 use crate::statement::PreparedShape;
 
@@ -91,6 +92,8 @@
     pub id: ConnectionId,
     pub phase: ConnectionPhase,
     pub created_at: MonoTime,
+    /// When the target accepted the connection, or later.
+    pub opened_at: MonoTime,
     /// Whether the connection was opened only to test whether the target accepts connections.
     pub is_connect_probe: bool,
     /// Session values that were set on the connection, sorted by name.
@@ -111,6 +114,7 @@
             id,
             phase: ConnectionPhase::Opening,
             created_at: now,
+            opened_at: now,
             is_connect_probe: false,
             values: Vec::new(),
             prepared: Vec::new(),
@@ -274,8 +278,9 @@
     pub backoff_until: MonoTime,
     /// Whether the target has to confirm its role before it is sent work for a primary.
     pub must_confirm_role: bool,
-    /// Highest log position in the answers of the target while it was not known as the primary.
-    pub max_seen: Option<GroupPosition>,
+    /// Highest log position in the answers of the target while it was not known as the primary, and
+    /// when the target was last asked to a call whose answer showed it.
+    pub max_seen: Option<(MonoTime, GroupPosition)>,
     /// Last status report of the target and when it was requested.
     pub report: Option<(MonoTime, StatusReport)>,
     /// Since when status reports have shown that the target is paused.
@@ -284,6 +289,8 @@
     pub step_down_sent: Option<(MonoTime, TermNumber)>,
     /// When the target last answered a call.
     pub answered_at: Option<MonoTime>,
+    /// Span in which the target has not restarted; `None` before its first answer.
+    pub run: Option<RunSpan>,
 }
 
 impl TargetPool {
@@ -314,6 +321,36 @@
             paused_since: None,
             step_down_sent: None,
             answered_at: None,
+            run: None,
+        }
+    }
+
+    /// Records that the target answered a call of `sent_at`. Returns whether it may have restarted
+    /// since its last answer: no connection was open all the time.
+    pub fn record_answer(&mut self, id: ConnectionId, sent_at: MonoTime, now: MonoTime) -> bool {
+        self.answered_at = Some(now);
+        let connection = self.connections.iter().find(|c| c.id == id);
+        let Some(opened_at) = connection.map(|connection| connection.opened_at) else {
+            return false;
+        };
+        let is_gap = self.run.is_some_and(|run| {
+            let mut ready = self
+                .connections
+                .iter()
+                .filter(|c| c.phase == ConnectionPhase::Ready);
+            opened_at > run.alive_at && !ready.any(|c| c.opened_at <= run.alive_at)
+        });
+        self.run = Some(RunSpan::extended(self.run, opened_at, sent_at));
+        is_gap
+    }
+
+    /// Records a log position in the answer to a call of `sent_at`.
+    pub fn record_position(&mut self, sent_at: MonoTime, position: GroupPosition) {
+        if self
+            .max_seen
+            .is_none_or(|(_, max_seen)| position >= max_seen)
+        {
+            self.max_seen = Some((sent_at, position));
         }
     }
 
@@ -335,7 +372,8 @@
         self.open_failures > 0 && !self.has_ready_connection()
     }
 
-    fn has_ready_connection(&self) -> bool {
+    /// Returns whether a connection to the target accepts calls.
+    pub fn has_ready_connection(&self) -> bool {
         self.connections
             .iter()
             .any(|connection| connection.phase == ConnectionPhase::Ready)
--- a/crates/gateway/src/promotion_steps.rs
+++ b/crates/gateway/src/promotion_steps.rs
@@ -16,9 +16,11 @@
 use crate::core::SessionGateway;
 use crate::group::GroupIndex;
 use crate::group::GroupState;
+use crate::message::StatusReport;
 use crate::message::TargetCall;
 use crate::pool::CallPurpose;
 use crate::pool::ControlPurpose;
+use crate::pool::TargetPool;
 use crate::promotion::POLL_INTERVAL;
 use crate::promotion::PromotionRun;
 use crate::promotion::PromotionStep;
@@ -100,6 +102,7 @@
         let fenced = run
             .reports()
             .filter(|(_, report)| report.paused_for.is_some())
+            .filter(|(target, _)| state.pool(*target).is_some_and(is_still_paused))
             .collect::<Vec<_>>();
         let newest_term = run.reports().map(|(_, report)| report.term).max();
         let newest_term = newest_term.max(Some(state.term));
@@ -369,6 +372,13 @@
     }
 }
 
+/// Returns whether a target that reported its pause has given no sign of a restart since, which
+/// would have ended the pause.
+fn is_still_paused(pool: &TargetPool) -> bool {
+    let is_paused = |(_, report): (MonoTime, StatusReport)| report.paused_for.is_some();
+    pool.has_ready_connection() && pool.report.is_some_and(is_paused)
+}
+
 /// Returns how many of the targets to be paused may fail to answer. Unless a primary stepped down,
 /// one of the missing targets is assumed to be the primary.
 fn max_missing(state: &GroupState, run: &PromotionRun) -> usize {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -55,6 +55,7 @@
         };
         if let Some(connection) = pool.connection_mut(id) {
             connection.phase = ConnectionPhase::Starting;
+            connection.opened_at = now;
         }
         self.send_call(id, CallPurpose::Start, call, now);
     }
@@ -512,8 +513,13 @@
         now: MonoTime,
     ) {
         let state = &mut self.groups[location.group.0];
-        if let Some(pool) = state.pool_mut(location.target) {
-            pool.answered_at = Some(now);
+        if let Some(pool) = state.pool_mut(location.target)
+            && pool.record_answer(location.connection, sent_at, now)
+        {
+            info!(
+                "restart_possible group={} target={} connection={}",
+                pool.entry.group, pool.entry.target, location.connection
+            );
         }
         let is_primary = state.primary == Some(location.target);
         if is_primary {
@@ -535,7 +541,7 @@
                 .tracker
                 .observe_replica(location.target, now, position);
             if let Some(pool) = state.pool_mut(location.target) {
-                pool.max_seen = pool.max_seen.max(Some(position));
+                pool.record_position(sent_at, position);
             }
             if !state.held_clients.is_empty() {
                 self.release_held_answers(location.group, now);
--- a/crates/gateway/tests/fake_targets/mod.rs
+++ b/crates/gateway/tests/fake_targets/mod.rs
@@ -26,14 +26,14 @@
 
 /// Status format whose rows are names: `primary` and `replica` report position 10 of term 1,
 /// `successor` and `follower` position 20 of term 2, `stepped` and `ahead` position 11 of term 1 as
-/// a replica and as a primary.
+/// a replica and as a primary, and `paused` position 10 of term 1 with a pause for term 2.
 pub struct RoleFormat;
 
 impl StatusFormat for RoleFormat {
     fn decode(&self, row: &str) -> Option<StatusReport> {
         let (role, term, position) = match row {
             "primary" => (TargetRole::Primary, 1, 10),
-            "replica" => (TargetRole::Replica, 1, 10),
+            "replica" | "paused" => (TargetRole::Replica, 1, 10),
             "successor" => (TargetRole::Primary, 2, 20),
             "follower" => (TargetRole::Replica, 2, 20),
             "stepped" => (TargetRole::Replica, 1, 11),
@@ -44,7 +44,7 @@
             role,
             term: TermNumber(term),
             received: GroupPosition::new(term, position),
-            paused_for: None,
+            paused_for: (row == "paused").then_some(TermNumber(2)),
             lag: Duration::ZERO,
             busy_slots: 0,
             connections: 3,
@@ -65,6 +65,14 @@
     pub has_stepped_down: bool,
     /// Whether target 0 has record 11, which no replica receives.
     pub is_primary_ahead: bool,
+    /// Replicas that have record 11.
+    pub copies: Vec<usize>,
+    /// Replicas that are paused for term 2.
+    pub paused: Vec<usize>,
+    /// Targets that do not answer.
+    pub silent: Vec<usize>,
+    /// Calls to silent targets, in order.
+    pub unanswered: Vec<(ConnectionId, TargetCall)>,
     /// Calls to targets, in order.
     pub calls: Vec<(usize, TargetCall)>,
 }
@@ -83,8 +91,14 @@
         self.connections[found.expect("connections are numbered in order")].1
     }
 
-    /// Returns the event with which a healthy target responds; `None` for actions that concern no
-    /// target.
+    /// Returns the connections that were opened to a target.
+    pub fn connections_to(&self, target: usize) -> Vec<ConnectionId> {
+        let opened = self.connections.iter().filter(|(_, to)| *to == target);
+        opened.map(|(id, _)| *id).collect()
+    }
+
+    /// Returns the event with which a target responds; `None` for silent targets and for actions
+    /// that concern no target.
     pub fn respond(&mut self, action: &GatewayAction) -> Option<GatewayEvent> {
         match action {
             GatewayAction::OpenTarget {
@@ -96,7 +110,15 @@
                 Some(GatewayEvent::TargetOpened(*connection))
             }
             GatewayAction::CallTarget { connection, call } => {
-                self.calls.push((self.target(*connection), call.clone()));
+                let target = self.target(*connection);
+                self.calls.push((target, call.clone()));
+                if self.silent.contains(&target) {
+                    self.unanswered.push((*connection, call.clone()));
+                    return None;
+                }
+                if matches!(call, TargetCall::Pause(_)) {
+                    self.paused.push(target);
+                }
                 Some(GatewayEvent::TargetAnswered {
                     connection: *connection,
                     answer: self.answer(*connection, call),
@@ -113,6 +135,12 @@
             (TargetCall::Status, 0, _) if self.has_stepped_down => "stepped",
             (TargetCall::Status, 0, _) if self.is_primary_ahead => "ahead",
             (TargetCall::Status, 0 | 10, _) => "primary",
+            (TargetCall::Status | TargetCall::Pause(_), _, None)
+                if self.paused.contains(&target) =>
+            {
+                "paused"
+            }
+            (TargetCall::Status, _, None) if self.copies.contains(&target) => "stepped",
             (TargetCall::Status, _, None) => "replica",
             (TargetCall::Status, _, _) if self.unaware.contains(&target) => "replica",
             (TargetCall::Status, _, Some(leader)) if leader == target => "successor",
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -50,6 +50,10 @@
     pub setup_calls: Vec<TargetCall>,
     /// Targets that received a status call, in order.
     pub status_queries: Vec<usize>,
+    /// Whether the gateway has requested the promotion duty.
+    pub has_requested_duty: bool,
+    /// Targets whose promotion was ordered, in order.
+    pub orders: Vec<String>,
     /// Whether the begin of a transaction also waits for an answer by the test.
     pub defers_begin: bool,
 }
@@ -75,6 +79,8 @@
             answers: Vec::new(),
             setup_calls: Vec::new(),
             status_queries: Vec::new(),
+            has_requested_duty: false,
+            orders: Vec::new(),
             defers_begin: false,
         };
         harness.deliver(GatewayEvent::CatalogRead(catalog()));
@@ -131,6 +137,14 @@
                 self.pending.push((connection, target, call));
                 None
             }
+            GatewayAction::AcquireDuty => {
+                self.has_requested_duty = true;
+                None
+            }
+            GatewayAction::OrderPromotion { target, .. } => {
+                self.orders.push(target);
+                None
+            }
             GatewayAction::AnswerClient { answer, .. } => {
                 self.answers.push(answer);
                 None
@@ -187,6 +201,14 @@
         self.answers.pop()
     }
 
+    /// Closes all connections to a target, as its restart does.
+    pub fn close_connections(&mut self, target: usize) {
+        for connection in self.targets.connections_to(target) {
+            let error = ConnectError::Closed;
+            self.deliver(GatewayEvent::TargetClosed { connection, error });
+        }
+    }
+
     /// Returns the target of the latest pending call.
     pub fn pending_target(&self) -> usize {
         self.pending.last().expect("a statement waits").1
--- a/crates/gateway/tests/promises.rs
+++ b/crates/gateway/tests/promises.rs
@@ -224,6 +224,30 @@
     }
 }
 
+/// Guards against the loss of a commit that a paused target confirmed to the old primary after its
+/// restart, while its entry still shows the earlier start.
+#[test]
+fn commits_survive_restarts_that_are_listed_late() {
+    fn property(seed: RunSeed, faults: FaultCount, has_homes: bool) -> bool {
+        let options = ClusterOptions {
+            lists_restarts_late: true,
+            ..restart_options(faults.0, has_homes)
+        };
+        promises_hold(seed, faults, options)
+    }
+    let direct = [(41, 5), (119, 5), (125, 5), (138, 0), (297, 3), (778, 4)];
+    let through_homes = [(119, 5), (313, 1)];
+    for (seed, faults) in direct {
+        assert!(property(RunSeed(seed), FaultCount(faults), false));
+    }
+    for (seed, faults) in through_homes {
+        assert!(property(RunSeed(seed), FaultCount(faults), true));
+    }
+    QuickCheck::new()
+        .tests(run_count(LONG_RUNS))
+        .quickcheck(property as fn(RunSeed, FaultCount, bool) -> bool);
+}
+
 /// Guards against proof of leadership for an old primary by a target whose restart ended its pause,
 /// before the instance knows of that restart.
 #[test]
--- a/crates/gateway/tests/support/listing.rs
+++ b/crates/gateway/tests/support/listing.rs
@@ -72,7 +72,7 @@
             } else {
                 TargetRole::Replica
             }),
-            incarnation: state.incarnation,
+            incarnation: state.listed_incarnation,
         }
     }
 
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -85,6 +85,8 @@
     pub has_late_records: bool,
     /// Whether paused targets often restart soon after, which ends their pause.
     pub restarts_paused_targets: bool,
+    /// Whether the entry of a restarted target is written up to a heartbeat later.
+    pub lists_restarts_late: bool,
 }
 
 /// Time for which an old primary continues after it learns of the new one.
@@ -127,6 +129,8 @@
     HoldBack(usize, MonoTime),
     /// The store loses the entry of a target (`true`) or lists it again.
     Unlist(usize, bool),
+    /// A restarted target writes its entry.
+    ListRestart(usize),
 }
 
 /// An event with its time; events of the same time keep the order of scheduling.
@@ -461,6 +465,7 @@
             SimEvent::Crash(target, is_down) => self.set_crashed(target, is_down),
             SimEvent::HoldBack(target, until) => self.targets[target].held_back_until = until,
             SimEvent::SetLag(target, lag) => self.targets[target].lag = lag,
+            SimEvent::ListRestart(target) => self.list_restart(target),
             SimEvent::Unlist(target, is_gone) => {
                 self.is_unlisted[target] = is_gone;
                 let name = self.targets[target].name.clone();
--- a/crates/gateway/tests/support/serving.rs
+++ b/crates/gateway/tests/support/serving.rs
@@ -21,6 +21,9 @@
 use super::target::PendingCommit;
 use super::target::SimConnection;
 
+/// Interval at which targets write their entries.
+const HEARTBEAT_MS: u64 = 1_200;
+
 impl ClusterSimulation {
     /// Accepts a connection of an instance, or reports why it fails.
     pub(super) fn accept_connection(&mut self, instance: usize, id: ConnectionId, target: usize) {
@@ -380,11 +383,23 @@
             }
             if self.options.restarts_paused_targets && !was_alive {
                 state.incarnation += 1;
-                self.announce_targets();
+                if self.options.lists_restarts_late {
+                    let delay = self.random.random_range(0..HEARTBEAT_MS);
+                    self.schedule(delay, SimEvent::ListRestart(target));
+                } else {
+                    self.list_restart(target);
+                }
             }
         }
     }
 
+    /// Updates the entry of a restarted target.
+    pub(super) fn list_restart(&mut self, target: usize) {
+        let state = &mut self.targets[target];
+        state.listed_incarnation = state.incarnation;
+        self.announce_targets();
+    }
+
     /// Returns whether a primary ignores a message of a later term, which it does for a while after
     /// the first.
     pub(super) fn delays_demotion(&mut self, target: usize, term: u64) -> bool {
--- a/crates/gateway/tests/support/target.rs
+++ b/crates/gateway/tests/support/target.rs
@@ -69,6 +69,8 @@
     pub newer_term_seen_at: Option<MonoTime>,
     /// Number of this start of the target.
     pub incarnation: u64,
+    /// Number of the start that the target's entry shows.
+    pub listed_incarnation: u64,
 }
 
 impl SimTarget {
@@ -88,6 +90,7 @@
             held_back_until: MonoTime::ZERO,
             newer_term_seen_at: None,
             incarnation: 1,
+            listed_incarnation: 1,
         }
     }
 
