--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod homes;
 mod log_budget;
 mod losses;
+mod members;
 mod message;
 mod observe;
 mod placement;
