Keep the size of each group in the store for instances that start

Cause: how many targets have to report follows from the size of the group, which an instance took from the targets that it had seen listed. One that starts has seen only its first list. With two targets of three, one report was a quorum, for a position without the primary and for a promotion.

Ruled out: a position of the session or of a known primary, and reads without a position; the instance had known no primary.

Instances that have seen the group store its size (one write a group and change), and one that starts counts by it until it has seen as many targets.

--- a/crates/gateway/src/action.rs
+++ b/crates/gateway/src/action.rs
@@ -113,6 +113,10 @@
     TargetUnlisted(String),
     /// The complete list of targets was read.
     TargetsRead(Vec<TargetEntry>),
+    /// The stored size of a group was written: its name and the number of its members.
+    GroupSizeRead(String, u8),
+    /// All stored sizes of groups were read.
+    GroupSizesRead(Vec<(String, u8)>),
     /// The live instances were counted, this one included.
     InstancesCounted(usize),
     /// Answer to [`GatewayAction::AcquireDuty`].
@@ -217,6 +221,16 @@
         /// Address of the instance.
         address: SocketAddr,
     },
+    /// Store the size of a group, for instances that start, unless another instance has changed it
+    /// meanwhile.
+    StoreGroupSize {
+        /// Name of the group.
+        group: String,
+        /// Size that is stored as far as this instance knows.
+        previous: Option<u8>,
+        /// Number of targets that may hold commits.
+        size: u8,
+    },
     /// Acquire the duty, the right to order promotions. The result is
     /// [`GatewayEvent::DutyAnswered`].
     AcquireDuty,
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -24,6 +24,7 @@
 use crate::log_budget::LineKind;
 use crate::log_budget::LogBudget;
 use crate::members::RemovedTarget;
+use crate::members::StoredSize;
 use crate::message::ClientId;
 use crate::message::StatusFormat;
 use crate::message::TargetCall;
@@ -161,6 +162,11 @@
             GatewayEvent::TargetListed(entry) => self.apply_target_entry(entry, now),
             GatewayEvent::TargetUnlisted(target) => self.mark_target_missing(&target, now),
             GatewayEvent::TargetsRead(entries) => self.replace_targets(entries, now),
+            GatewayEvent::GroupSizeRead(group, size) => {
+                let group = self.group_index(&group, now);
+                self.groups[group.0].stored_size = Some(StoredSize::new(size, now));
+            }
+            GatewayEvent::GroupSizesRead(sizes) => self.replace_sizes(sizes, now),
             GatewayEvent::InstancesCounted(count) => {
                 self.update_instance_count(count, now);
             }
@@ -237,6 +243,7 @@
                 continue;
             }
             self.observe_group(GroupIndex(i), now);
+            self.update_stored_size(GroupIndex(i), now);
             self.tick_promotion(GroupIndex(i), now);
         }
     }
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -17,6 +17,7 @@
 use crate::catalog::GroupRule;
 use crate::catalog::TargetEntry;
 use crate::members::RemovedTarget;
+use crate::members::StoredSize;
 use crate::message::ClientId;
 use crate::message::TargetCall;
 use crate::pool::ControlPurpose;
@@ -50,8 +51,12 @@
     pub previous_primary: Option<TargetIndex>,
     /// Last target that was known to lead; it stays set while there is no primary.
     pub last_primary: Option<TargetIndex>,
+    /// Whether some target was known to lead `term`.
+    pub has_known_leader: bool,
     /// Time since which no primary is known.
     pub leaderless_since: Option<MonoTime>,
+    /// Time without a primary for which a position that a quorum dates was logged.
+    pub quorum_logged_for: Option<MonoTime>,
     /// Duration of the last failover: the time from losing a primary to knowing the next one.
     pub last_failover_duration: Option<Duration>,
     pub monitor: PrimaryMonitor,
@@ -89,6 +94,10 @@
     pub leadership_proved_at: Option<MonoTime>,
     /// Largest number of staying targets that were listed at once while none was leaving.
     pub nominal_size: usize,
+    /// Size of the group that the instances keep in the store, as it was read.
+    pub stored_size: Option<StoredSize>,
+    /// Size that differs from the stored one, and since when it has been the same.
+    pub unstored_size: Option<(usize, MonoTime)>,
     /// Targets that were removed without having announced that they leave.
     pub removed_targets: Vec<RemovedTarget>,
     /// Instance that statements of this group are forwarded to; `None` if this instance serves
@@ -120,7 +129,9 @@
             primary_since: now,
             previous_primary: None,
             last_primary: None,
+            has_known_leader: false,
             leaderless_since: Some(now),
+            quorum_logged_for: None,
             last_failover_duration: None,
             monitor: PrimaryMonitor::new(monitor),
             suspicion: Suspicion::Healthy,
@@ -140,6 +151,8 @@
             last_used_at: MonoTime::ZERO,
             leadership_proved_at: None,
             nominal_size: 0,
+            stored_size: None,
+            unstored_size: None,
             removed_targets: Vec::new(),
             remote_home: None,
             isolated_homes: Vec::new(),
@@ -218,6 +231,7 @@
             self.previous_primary = self.last_primary;
         }
         self.primary = Some(target);
+        self.has_known_leader = true;
         self.primary_since = now;
         self.last_primary = Some(target);
         // The zero time makes the next pass consider all requests that wait for a primary.
@@ -239,6 +253,7 @@
     /// it.
     pub fn start_term(&mut self, term: TermNumber) {
         self.term = term;
+        self.has_known_leader = false;
         self.term_start = None;
         self.tracker = FreshnessTracker::default();
         self.leadership_proved_at = None;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -1,12 +1,20 @@
 //! The members of a group: which targets may hold commits, and how many of them have to answer.
 //!
 //! The list of targets does not tell how large a group is: an entry vanishes when its target, or the
-//! store, is cut off, while the target goes on confirming commits.
+//! store, is cut off, while the target goes on confirming commits. Instances that have seen the
+//! group whole count what they have seen, and keep the size in the store for instances that start.
 
 use std::time::Duration;
 
+use log::info;
+
+use heatherhollow_types::GroupPosition;
 use heatherhollow_types::MonoTime;
+use heatherhollow_types::stable_hash;
 
+use crate::action::GatewayAction;
+use crate::core::SessionGateway;
+use crate::group::GroupIndex;
 use crate::group::GroupState;
 
 /// Time for which a target that was removed without leaving still counts as a member of its group.
@@ -17,6 +25,17 @@
 /// back, and while they count the group may never reach the quorum for a promotion.
 const LONG_LEADERLESS_TIME: Duration = Duration::from_secs(15);
 
+/// Time for which a size must have been the same before it is stored. A new target is listed for as
+/// long before its copies of commits count.
+const SIZE_SETTLE_TIME: Duration = Duration::from_millis(1_000);
+
+/// Greatest further delay before a size is stored. The delay differs between instances, so that
+/// usually one of them has stored it before the others try.
+const MAX_STORE_DELAY: Duration = Duration::from_secs(3);
+
+/// Pause after an attempt to store a size, as calls to a store that is down cost as much as others.
+const STORE_RETRY_PAUSE: Duration = Duration::from_secs(5);
+
 /// A target whose entry disappeared although it had not announced that it leaves.
 #[derive(Debug)]
 pub(crate) struct RemovedTarget {
@@ -26,6 +45,69 @@
     pub removed_at: MonoTime,
 }
 
+/// Size of a group as it was read from the store.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct StoredSize {
+    size: usize,
+    read_at: MonoTime,
+}
+
+impl StoredSize {
+    pub fn new(size: u8, read_at: MonoTime) -> Self {
+        Self {
+            size: usize::from(size),
+            read_at,
+        }
+    }
+}
+
+impl SessionGateway {
+    /// Replaces the stored sizes after all of them were read. A size that is gone from the store is
+    /// stored again.
+    pub(crate) fn replace_sizes(&mut self, sizes: Vec<(String, u8)>, now: MonoTime) {
+        for group in &mut self.groups {
+            let is_known = |stored: &StoredSize| group.nominal_size >= stored.size;
+            group.stored_size = group.stored_size.filter(|stored| !is_known(stored));
+        }
+        for (group, size) in sizes {
+            let group = self.group_index(&group, now);
+            self.groups[group.0].stored_size = Some(StoredSize::new(size, now));
+        }
+    }
+
+    /// Stores the size of a group once it has differed from the stored one for a while.
+    pub(crate) fn update_stored_size(&mut self, group: GroupIndex, now: MonoTime) {
+        let is_list_settled = self.is_list_settled(now);
+        let name = self.identity.name.as_str();
+        let state = &mut self.groups[group.0];
+        let Some(size) = state.size_to_store(now).filter(|_| is_list_settled) else {
+            state.unstored_size = None;
+            return;
+        };
+        let rank = stable_hash(&[name, &state.name]) % 1_000;
+        let delay = SIZE_SETTLE_TIME + MAX_STORE_DELAY.mul_f64(rank as f64 / 1_000.0);
+        match state.unstored_size {
+            Some((known, since)) if known == size => {
+                if now.since(since) < delay {
+                    return;
+                }
+            }
+            _ => {
+                state.unstored_size = Some((size, now));
+                return;
+            }
+        }
+        // The next attempt follows after another delay if the size is not read back until then.
+        state.unstored_size = Some((size, now + STORE_RETRY_PAUSE));
+        let previous = state.stored_size.map(|stored| stored.size);
+        self.actions.push(GatewayAction::StoreGroupSize {
+            group: state.name.clone(),
+            previous: previous.and_then(|size| u8::try_from(size).ok()),
+            size: u8::try_from(size).unwrap_or(u8::MAX),
+        });
+    }
+}
+
 impl GroupState {
     /// Returns how many targets may fail to answer in a promotion: the number of replicas that hold
     /// a copy of each acknowledged commit, and at least one.
@@ -55,22 +137,57 @@
     /// disappeared without its leaving may be alive behind a network cut and go on confirming
     /// commits, so it is counted too.
     pub fn member_count(&self, now: MonoTime) -> usize {
-        let staying = self.staying_count();
         let is_long_leaderless = self
             .leaderless_since
             .is_some_and(|since| now.since(since) >= LONG_LEADERLESS_TIME);
         if is_long_leaderless {
-            return staying.max(1);
+            return self.staying_count().max(1);
         }
+        let size = self.seen_size(now).max(self.unseen_size(now));
+        size.max(1)
+    }
+
+    /// Returns the number of staying targets that may hold commits, as far as this instance has
+    /// seen them listed.
+    fn seen_size(&self, now: MonoTime) -> usize {
+        let staying = self.staying_count();
         let removed = self
             .removed_targets
             .iter()
             .filter(|entry| now.since(entry.removed_at) <= REMOVED_TARGET_RETENTION)
             .count();
-        (staying + removed)
-            .min(self.nominal_size)
-            .max(staying)
-            .max(1)
+        (staying + removed).min(self.nominal_size).max(staying)
+    }
+
+    /// Returns the least size of the group that is known otherwise: the stored size as long as this
+    /// instance has not seen as many targets, or without one the listed targets and the primary of
+    /// the known term, if that is none of them.
+    fn unseen_size(&self, now: MonoTime) -> usize {
+        match &self.stored_size {
+            Some(stored) if self.has_seen(stored, now) => 0,
+            Some(stored) => stored.size,
+            None if self.has_known_leader => 0,
+            None => self.staying_count() + 1,
+        }
+    }
+
+    /// Returns whether what this instance has seen of the group replaces a stored size.
+    fn has_seen(&self, stored: &StoredSize, now: MonoTime) -> bool {
+        let is_outdated = now.since(stored.read_at) > REMOVED_TARGET_RETENTION;
+        self.nominal_size >= stored.size || is_outdated
+    }
+
+    /// Returns the size to be stored for instances that start; `None` if the stored size holds, or
+    /// this instance does not know better.
+    fn size_to_store(&self, now: MonoTime) -> Option<usize> {
+        let size = self.seen_size(now);
+        let is_known = match &self.stored_size {
+            Some(stored) => stored.size != size && self.has_seen(stored, now),
+            None => true,
+        };
+        let is_changing = self.targets().any(|(_, pool)| pool.is_leaving());
+        let may_store = is_known && self.primary.is_some() && !is_changing;
+        may_store.then_some(size)
     }
 
     /// Updates the nominal size after targets were listed. Once set, it does not grow while a
@@ -121,6 +238,23 @@
             .max();
         if let Some(position) = log_end {
             self.tracker.observe_quorum(asked_at, position);
+            self.log_quorum(needed, position, now);
+        }
+    }
+
+    /// Logs the first position of a time without a primary that a quorum dates.
+    fn log_quorum(&mut self, needed: usize, position: GroupPosition, now: MonoTime) {
+        let leaderless_since = self.leaderless_since;
+        if leaderless_since.is_some() && self.quorum_logged_for != leaderless_since {
+            info!(
+                "quorum_position group={} position={position} reports={needed} members={} \
+                 listed={} knows_leader={}",
+                self.name,
+                self.member_count(now),
+                self.targets().count(),
+                self.has_known_leader
+            );
         }
+        self.quorum_logged_for = leaderless_since;
     }
 }
--- a/crates/gateway/src/promotion.rs
+++ b/crates/gateway/src/promotion.rs
@@ -203,11 +203,8 @@
         now: MonoTime,
     ) -> Option<PromotionCause> {
         let state = &self.groups[group.0];
-        let is_settled = self
-            .list_complete_since
-            .is_some_and(|since| now.since(since) >= LIST_SETTLE_TIME);
-        if now < state.next_promotion_at || self.is_stopping || state.rule.is_none() || !is_settled
-        {
+        let is_waiting = now < state.next_promotion_at || self.is_stopping;
+        if is_waiting || state.rule.is_none() || !self.is_list_settled(now) {
             return None;
         }
         let name = self.identity.name.as_str();
@@ -246,6 +243,12 @@
         is_forgotten.then_some(PromotionCause::ForgottenPause)
     }
 
+    /// Returns whether the list of targets has been known for [`LIST_SETTLE_TIME`].
+    pub(crate) fn is_list_settled(&self, now: MonoTime) -> bool {
+        self.list_complete_since
+            .is_some_and(|since| now.since(since) >= LIST_SETTLE_TIME)
+    }
+
     /// Starts a run by asking every target for its status.
     pub(crate) fn start_promotion(
         &mut self,
--- a/crates/gateway/tests/fake_targets/mod.rs
+++ b/crates/gateway/tests/fake_targets/mod.rs
@@ -26,7 +26,8 @@
 
 /// Status format whose rows are names: `primary` and `replica` report position 10 of term 1,
 /// `successor` and `follower` position 20 of term 2, `stepped` and `ahead` position 11 of term 1 as
-/// a replica and as a primary, and `paused` position 10 of term 1 with a pause for term 2.
+/// a replica and as a primary, and `paused` and `paused-copy` positions 10 and 11 of term 1 with a
+/// pause for term 2.
 pub struct RoleFormat;
 
 impl StatusFormat for RoleFormat {
@@ -36,7 +37,7 @@
             "replica" | "paused" => (TargetRole::Replica, 1, 10),
             "successor" => (TargetRole::Primary, 2, 20),
             "follower" => (TargetRole::Replica, 2, 20),
-            "stepped" => (TargetRole::Replica, 1, 11),
+            "stepped" | "paused-copy" => (TargetRole::Replica, 1, 11),
             "ahead" => (TargetRole::Primary, 1, 11),
             _ => return None,
         };
@@ -44,7 +45,7 @@
             role,
             term: TermNumber(term),
             received: GroupPosition::new(term, position),
-            paused_for: (row == "paused").then_some(TermNumber(2)),
+            paused_for: row.starts_with("paused").then_some(TermNumber(2)),
             lag: Duration::ZERO,
             busy_slots: 0,
             connections: 3,
@@ -138,7 +139,8 @@
             (TargetCall::Status | TargetCall::Pause(_), _, None)
                 if self.paused.contains(&target) =>
             {
-                "paused"
+                let has_copy = self.copies.contains(&target);
+                if has_copy { "paused-copy" } else { "paused" }
             }
             (TargetCall::Status, _, None) if self.copies.contains(&target) => "stepped",
             (TargetCall::Status, _, None) => "replica",
@@ -157,6 +159,10 @@
                 position: Some(GroupPosition::new(2, 20)),
                 ..answer
             },
+            _ if self.copies.contains(&target) => TargetAnswer {
+                position: Some(GroupPosition::new(1, 11)),
+                ..answer
+            },
             _ => answer,
         }
     }
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -50,6 +50,8 @@
     pub setup_calls: Vec<TargetCall>,
     /// Targets that received a status call, in order.
     pub status_queries: Vec<usize>,
+    /// Sizes of the group that the gateway has stored, in order.
+    pub stored_sizes: Vec<u8>,
     /// Whether the gateway has requested the promotion duty.
     pub has_requested_duty: bool,
     /// Targets whose promotion was ordered, in order.
@@ -62,8 +64,19 @@
 pub const CLIENT: ClientId = ClientId(1);
 
 impl GatewayHarness {
-    /// Starts the gateway and a session of the client on the route `database`.
+    /// Starts the gateway with all targets and a session of the client on the route `database`.
     pub fn new(database: &str) -> Self {
+        let mut harness = Self::with_targets(FakeTargets::default());
+        harness.list_targets(&[0, 1, 2]);
+        for _ in 0..20 {
+            harness.advance(100);
+        }
+        harness.start_session(database);
+        harness
+    }
+
+    /// Starts the gateway, which knows the catalog and no targets.
+    pub fn with_targets(targets: FakeTargets) -> Self {
         let identity = InstanceIdentity {
             name: "instance-1".to_string(),
             data_centre: "dc".parse().unwrap(),
@@ -74,27 +87,33 @@
         let mut harness = Self {
             gateway,
             now: MonoTime::from_millis(10_000),
-            targets: FakeTargets::default(),
+            targets,
             pending: Vec::new(),
             answers: Vec::new(),
             setup_calls: Vec::new(),
             status_queries: Vec::new(),
+            stored_sizes: Vec::new(),
             has_requested_duty: false,
             orders: Vec::new(),
             defers_begin: false,
         };
         harness.deliver(GatewayEvent::CatalogRead(catalog()));
-        harness.deliver(GatewayEvent::TargetsRead((0..3).map(entry).collect()));
-        for _ in 0..20 {
-            harness.advance(100);
-        }
-        harness.deliver(GatewayEvent::ClientOpened(CLIENT));
-        let database = database.to_string();
-        harness.deliver(GatewayEvent::ClientStart {
+        harness
+    }
+
+    /// Delivers a complete list with some of the targets.
+    pub fn list_targets(&mut self, listed: &[usize]) {
+        let entries = listed.iter().map(|target| entry(*target)).collect();
+        self.deliver(GatewayEvent::TargetsRead(entries));
+    }
+
+    /// Opens a session of the client on the route `database`.
+    pub fn start_session(&mut self, database: &str) {
+        self.deliver(GatewayEvent::ClientOpened(CLIENT));
+        self.deliver(GatewayEvent::ClientStart {
             client: CLIENT,
-            database,
+            database: database.to_string(),
         });
-        harness
     }
 
     /// Advances time and then delivers a tick.
@@ -137,6 +156,10 @@
                 self.pending.push((connection, target, call));
                 None
             }
+            GatewayAction::StoreGroupSize { group, size, .. } => {
+                self.stored_sizes.push(size);
+                Some(GatewayEvent::GroupSizeRead(group, size))
+            }
             GatewayAction::AcquireDuty => {
                 self.has_requested_duty = true;
                 None
--- a/crates/gateway/tests/load/mod.rs
+++ b/crates/gateway/tests/load/mod.rs
@@ -387,6 +387,10 @@
                 let ordered = GatewayEvent::PromotionOrdered { group, reply };
                 self.schedule_after(LINK_DELAY, SimEvent::Deliver(ordered));
             }
+            GatewayAction::StoreGroupSize { group, size, .. } => {
+                let read = GatewayEvent::GroupSizeRead(group, size);
+                self.schedule_after(LINK_DELAY, SimEvent::Deliver(read));
+            }
             GatewayAction::ReleaseDuty => {}
             other => panic!("unexpected gateway action: {other:?}"),
         }
--- /dev/null
+++ b/crates/gateway/tests/members.rs
@@ -0,0 +1,174 @@
+//! An instance that starts knows a group by its list of targets only, which lacks targets whose
+//! entries have lapsed although they serve.
+//!
+//! Unless a test says otherwise, target 0 leads and goes on committing. Record 11 is on target 2;
+//! target 1 receives nothing.
+
+mod fake_targets;
+mod harness;
+
+use std::time::Duration;
+
+use heatherhollow_gateway::DutyToken;
+use heatherhollow_gateway::GatewayEvent;
+use heatherhollow_gateway::Statement;
+use heatherhollow_gateway::TargetCall;
+use heatherhollow_gateway::TargetEntry;
+use heatherhollow_gateway::TargetState;
+use heatherhollow_types::GroupPosition;
+
+use fake_targets::FakeTargets;
+use fake_targets::GROUP;
+use fake_targets::entry;
+use harness::GatewayHarness;
+
+/// Position of the last acknowledged commit.
+const LAST_COMMIT: GroupPosition = GroupPosition::new(1, 11);
+
+/// Starts an instance that reads `stored_size` and a list of some targets, of which `silent` do not
+/// answer.
+fn start(stored_size: Option<u8>, listed: &[usize], silent: Vec<usize>) -> GatewayHarness {
+    let mut targets = FakeTargets::default();
+    targets.copies = vec![2];
+    targets.silent = silent;
+    let mut harness = GatewayHarness::with_targets(targets);
+    let sizes = stored_size.map(|size| (GROUP.to_string(), size));
+    harness.deliver(GatewayEvent::GroupSizesRead(sizes.into_iter().collect()));
+    harness.list_targets(listed);
+    harness
+}
+
+/// Sends a read, waits for a second and returns the positions that reads at targets ask for.
+fn requested_positions(harness: &mut GatewayHarness, database: &str) -> Vec<Option<GroupPosition>> {
+    harness.start_session(database);
+    let _refusal = harness.send(Statement::Read);
+    for _ in 0..50 {
+        harness.advance(20);
+    }
+    let reads = harness
+        .pending
+        .iter()
+        .filter_map(|(_, _, call)| match call {
+            TargetCall::Forward { after, .. } => Some(*after),
+            _ => None,
+        });
+    reads.collect()
+}
+
+/// Grants each request for the duty and returns the targets whose promotion is ordered within eight
+/// seconds.
+fn ordered_targets(mut harness: GatewayHarness) -> Vec<String> {
+    for _ in 0..400 {
+        harness.advance(20);
+        if harness.has_requested_duty {
+            harness.has_requested_duty = false;
+            harness.deliver(GatewayEvent::DutyAnswered(Ok(DutyToken {
+                number: 7,
+                valid_until: harness.now + Duration::from_secs(3),
+            })));
+        }
+    }
+    harness.orders
+}
+
+/// Guards against a read that misses acknowledged commits: one replica's report counted as a quorum
+/// of a group whose primary, or whose other replica, was not listed.
+#[test]
+fn instance_that_starts_with_a_short_list_reads_no_old_log() {
+    let cases = [
+        (None, [1, 2].as_slice(), vec![2]),
+        (Some(3), &[1, 2], vec![2]),
+        (Some(3), &[0, 1], vec![0]),
+    ];
+    for (stored_size, listed, silent) in cases {
+        for database in ["present", "own"] {
+            let mut harness = start(stored_size, listed, silent.clone());
+            let positions = requested_positions(&mut harness, database);
+            assert_eq!(
+                positions,
+                Vec::new(),
+                "{stored_size:?} {listed:?} {database}"
+            );
+        }
+    }
+}
+
+/// Guards against reads that are refused although two of three targets have reported.
+#[test]
+fn instance_that_starts_without_the_primary_reads_at_two_replicas() {
+    for stored_size in [None, Some(3)] {
+        for database in ["present", "own"] {
+            let mut harness = start(stored_size, &[1, 2], Vec::new());
+            let positions = requested_positions(&mut harness, database);
+            assert!(!positions.is_empty(), "{stored_size:?} {database}");
+            let is_complete = |position: &Option<GroupPosition>| *position >= Some(LAST_COMMIT);
+            assert!(positions.iter().all(is_complete), "{positions:?}");
+        }
+    }
+}
+
+/// Guards against the loss of commits: a promotion after pausing one of two replicas, of which the
+/// other has the last commits.
+#[test]
+fn instance_that_starts_with_a_short_list_promotes_only_with_both_replicas() {
+    let none = Vec::<String>::new();
+    assert_eq!(ordered_targets(start(None, &[1, 2], vec![0, 2])), none);
+    assert_eq!(ordered_targets(start(Some(3), &[1, 2], vec![0, 2])), none);
+    assert_eq!(ordered_targets(start(Some(3), &[0, 1], vec![0])), none);
+}
+
+/// Guards against a group that stays without a primary: the stored size counts the listed targets,
+/// of which one has crashed, and not one more.
+#[test]
+fn instance_that_starts_after_the_primary_crashed_promotes_a_replica() {
+    for (stored_size, listed) in [
+        (Some(3), [0, 1, 2].as_slice()),
+        (Some(3), &[1, 2]),
+        (None, &[1, 2]),
+    ] {
+        let orders = ordered_targets(start(stored_size, listed, vec![0]));
+        assert_eq!(orders.first().map(String::as_str), Some("t2"), "{listed:?}");
+    }
+}
+
+/// Guards against a stored size that counts a target which has left, or one that has only vanished
+/// from the list as gone.
+#[test]
+fn stored_size_follows_targets_that_leave_and_not_those_that_vanish() {
+    let mut harness = start(None, &[0, 1, 2], Vec::new());
+    let wait = |harness: &mut GatewayHarness, seconds: u64| {
+        for _ in 0..seconds * 10 {
+            harness.advance(100);
+        }
+    };
+    wait(&mut harness, 8);
+    assert_eq!(harness.stored_sizes, vec![3]);
+    harness.deliver(GatewayEvent::TargetUnlisted("t2".to_string()));
+    wait(&mut harness, 60);
+    assert_eq!(harness.stored_sizes, vec![3]);
+    harness.deliver(GatewayEvent::TargetListed(entry(2)));
+    harness.deliver(GatewayEvent::TargetListed(TargetEntry {
+        state: TargetState::Draining,
+        ..entry(1)
+    }));
+    wait(&mut harness, 5);
+    harness.deliver(GatewayEvent::TargetUnlisted("t1".to_string()));
+    wait(&mut harness, 10);
+    assert_eq!(harness.stored_sizes, vec![3, 2]);
+}
+
+/// Guards against a size that is missing for good after the store has come back from an old copy.
+#[test]
+fn lost_size_is_stored_again() {
+    let mut harness = start(Some(3), &[0, 1, 2], Vec::new());
+    for _ in 0..80 {
+        harness.advance(100);
+    }
+    assert_eq!(harness.stored_sizes, Vec::<u8>::new());
+    harness.deliver(GatewayEvent::GroupSizesRead(Vec::new()));
+    harness.list_targets(&[0, 1, 2]);
+    for _ in 0..80 {
+        harness.advance(100);
+    }
+    assert_eq!(harness.stored_sizes, vec![3]);
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -563,6 +563,12 @@
                 }
             }
             GatewayAction::CloseTarget(connection) => self.close_connection(instance, connection),
+            GatewayAction::StoreGroupSize { group, size, .. } => {
+                for instance in 0..self.options.instances {
+                    let event = GatewayEvent::GroupSizeRead(group.clone(), size);
+                    self.schedule_delivery(instance, event, 15);
+                }
+            }
             GatewayAction::AcquireDuty => self.grant_duty(instance),
             GatewayAction::ReleaseDuty => self.release_duty(instance),
             GatewayAction::OrderPromotion { target, token, .. } => {
--- a/crates/heatherhollow/tests/restored.rs
+++ b/crates/heatherhollow/tests/restored.rs
@@ -48,6 +48,35 @@
     });
 }
 
+/// Guards against an instance that starts without the sizes of the groups, which would then take
+/// its list of targets for whole groups. The size outlasts a copy of the store that lacks it.
+#[test]
+fn instance_that_starts_reads_the_stored_size() {
+    run(async {
+        let mut cluster = Cluster::start("size", 2).await;
+        let copy = cluster.world.store().copy();
+        let is_stored = |cluster: &Cluster, count: usize| {
+            let stored = |i| cluster.count_events(i, "group_size_stored group=");
+            stored(0) + stored(1) >= count
+        };
+        wait_until("no size is stored", || is_stored(&cluster, 1)).await;
+        cluster.world.store().restore(&copy);
+        wait_until("the size is not stored again", || is_stored(&cluster, 2)).await;
+        let kill = SoakFault::Kill(0);
+        cluster.world.apply(kill, true).unwrap();
+        // The process has to end before it can be started again.
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        cluster.world.apply(kill, false).unwrap();
+        wait_until("the instance does not read the size", || {
+            let log = cluster.world.log(0).unwrap();
+            let started_at = log.rfind("event=instance_started").unwrap_or_default();
+            log[started_at..].contains("sizes=1")
+        })
+        .await;
+        cluster.stop().await;
+    });
+}
+
 /// Guards against a promotion with a lower token than an earlier one, because the store has gone
 /// back to lower revisions in between. The checker of the cluster compares the tokens.
 #[test]
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -12,6 +12,7 @@
 mod follow;
 mod formats;
 mod frames;
+mod group_sizes;
 mod link_table;
 mod links;
 mod membership;
--- a/crates/runner/src/run.rs
+++ b/crates/runner/src/run.rs
@@ -43,6 +43,7 @@
 use crate::formats::CatalogFormat;
 use crate::formats::PromotionPort;
 use crate::formats::WireFormat;
+use crate::group_sizes::store_size;
 use crate::link_table::LinkTable;
 use crate::links::accept_links;
 use crate::membership::MemberValue;
@@ -415,6 +416,14 @@
                 }
             }
             GatewayAction::CloseTarget(connection) => self.remove_target(connection),
+            GatewayAction::StoreGroupSize {
+                group,
+                previous,
+                size,
+            } => {
+                let store = self.parts.store.clone();
+                tokio::spawn(store_size(store, group, previous, size));
+            }
             GatewayAction::AcquireDuty => {
                 let duty = self.duty.clone();
                 let events = self.events.clone();
--- a/crates/runner/src/watch.rs
+++ b/crates/runner/src/watch.rs
@@ -34,6 +34,7 @@
 use crate::follow::ReaderUpdate;
 use crate::formats::CatalogFormat;
 use crate::formats::StoreValue;
+use crate::group_sizes::decode_size;
 use crate::membership::MEMBERS_PREFIX;
 use crate::membership::MemberList;
 use crate::mirror::StoreMirror;
@@ -378,8 +379,10 @@
         let mut targets = Vec::new();
         self.members.clear();
         let mut catalog = None;
+        let mut sizes = Vec::new();
         for entry in entries {
             self.record_reader(&entry.path, Some(&entry.value));
+            sizes.extend(decode_size(&entry.path, &entry.value));
             if entry.path.starts_with(MEMBERS_PREFIX) {
                 self.members.record(&entry.path, Some(&entry.value));
                 continue;
@@ -391,9 +394,10 @@
             }
         }
         info!(
-            "store_listed targets={} instances={} has_catalog={}",
+            "store_listed targets={} instances={} sizes={} has_catalog={}",
             targets.len(),
             self.members.members().len(),
+            sizes.len(),
             catalog.is_some()
         );
         self.has_listed_targets = !targets.is_empty();
@@ -401,6 +405,8 @@
         if let Some(catalog) = catalog {
             self.report(GatewayEvent::CatalogRead(catalog));
         }
+        // Before the targets, so that no decision counts them without the sizes.
+        self.report(GatewayEvent::GroupSizesRead(sizes));
         self.report(GatewayEvent::TargetsRead(targets));
     }
 
@@ -437,6 +443,10 @@
     /// Reports a change; returns true if it is urgent: a new primary or a draining target.
     fn apply_change(&mut self, change: StoreChange) -> bool {
         self.record_reader(&change.path, change.value.as_deref());
+        let value = change.value.as_deref();
+        if let Some((group, size)) = value.and_then(|value| decode_size(&change.path, value)) {
+            self.report(GatewayEvent::GroupSizeRead(group, size));
+        }
         match self
             .parts
             .format
