--- a/crates/heatherhollow/tests/malformed.rs
+++ b/crates/heatherhollow/tests/malformed.rs
@@ -1,9 +1,10 @@
-//! Malformed input to each port of an instance that runs as a process.
+//! Malformed input to each port of an instance that runs as a process, and odd entries in its store.
 
 mod cluster;
 
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use rand::RngExt;
 use rand::SeedableRng;
@@ -12,7 +13,10 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+use heatherhollow_soak::SoakFault;
+
 use cluster::Cluster;
+use cluster::WAIT_LIMIT;
 use cluster::run;
 
 /// Number of random inputs that each port receives.
@@ -84,3 +88,59 @@
         cluster.stop().await;
     });
 }
+
+/// Entry of a target that can be used.
+const ENTRY: &str = r#"{"Service":"ledger","Address":"127.0.0.1:9","Zone":"dc","Slots":3,
+    "State":"ready","DbRole":"replica","Sequence":4,"born":17}"#;
+
+/// Returns values of an entry of a target that another writer may leave.
+fn odd_entries() -> Vec<String> {
+    let deep = "[".repeat(100_000) + &"]".repeat(100_000);
+    vec![
+        deep.clone(),
+        ENTRY.replace("\"ledger\"", &deep),
+        ENTRY.replace("3,", "1e999,"),
+        ENTRY.replace("17", "18446744073709551615"),
+        ENTRY.replace(":9\"", ":65536\""),
+        ENTRY.replace(":9\"", ":0\""),
+        ENTRY.replace("ready", &"x".repeat(100_000)),
+        "\u{0}".to_string(),
+    ]
+}
+
+/// Guards against instances that end, or stop following the store, because of an odd entry among
+/// those of the targets, and against a promotion that counts it. The entries come while instances
+/// run, and are there when one starts.
+#[test]
+fn odd_entries_of_targets_stop_no_instance() {
+    run(async {
+        let mut cluster = Cluster::start("entries", 3).await;
+        let all = [0, 1, 2];
+        cluster.wait_until_served(&all, "db-present").await;
+        for (i, value) in odd_entries().into_iter().enumerate() {
+            let path = format!("servers/odd-{i}");
+            let store = cluster.world.store();
+            store.put(&path, Some(value.into_bytes()));
+        }
+        let kill = SoakFault::Kill(0);
+        cluster.world.apply(kill, true).unwrap();
+        // The process has to end before it can be started again.
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        cluster.world.apply(kill, false).unwrap();
+        cluster.world.add_database("db-new");
+        cluster.wait_until_served(&all, "db-new").await;
+        let primary = cluster.world.primary().unwrap();
+        cluster
+            .world
+            .apply(SoakFault::Crash(primary), true)
+            .unwrap();
+        let started_at = Instant::now();
+        while cluster.world.primary().is_none_or(|i| i == primary) {
+            assert!(started_at.elapsed() < WAIT_LIMIT, "no target is promoted");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        let starts = all.map(|i| cluster.count_events(i, "instance_started"));
+        assert_eq!(starts, [2, 1, 1]);
+        cluster.stop().await;
+    });
+}
