Observe only groups that are declared or used

An entry of another writer may name a group that is not declared. Instances opened connections to its target and ticked every 20 ms in place of 100 ms, as for a group without a primary.

entry_of_an_undeclared_group_causes_no_work fails on the code before (20 ms in place of 100 ms) and passes now.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -175,7 +175,8 @@
         if now.since(state.last_used_at) < RECENT_USE_WINDOW {
             return true;
         }
-        if state.remote_home.is_some() {
+        // An entry of another writer may name a group that is not declared.
+        if state.remote_home.is_some() || state.rule.is_none() {
             return false;
         }
         let has_remote_homes = state.has_scarce_connections(self.instances);
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -389,8 +389,10 @@
         let has_work =
             !self.queue.is_empty() || !self.held_clients.is_empty() || self.promotion.is_some();
         let is_used = now.since(self.last_used_at) < RECENT_USE_WINDOW;
-        // A group that is used only through its remote home runs nothing at its targets here.
-        if has_work || (self.remote_home.is_some() && !is_used) {
+        // A group that is not declared, or is used only through its remote home, runs nothing at its
+        // targets here.
+        let is_elsewhere = self.remote_home.is_some() || self.rule.is_none();
+        if has_work || (is_elsewhere && !is_used) {
             return has_work;
         }
         let is_leaderless = self.primary.is_none() && self.remote_home.is_none();
--- a/crates/gateway/tests/members.rs
+++ b/crates/gateway/tests/members.rs
@@ -172,3 +172,23 @@
     }
     assert_eq!(harness.stored_sizes, vec![3]);
 }
+
+/// Guards against work for an entry of another writer: instances opened connections to the target of
+/// a group that is not declared, and ticked as often as without a primary.
+#[test]
+fn entry_of_an_undeclared_group_causes_no_work() {
+    let mut harness = start(Some(3), &[0, 1, 2], Vec::new());
+    let wait = |harness: &mut GatewayHarness| {
+        for _ in 0..80 {
+            harness.advance(100);
+        }
+        harness.gateway.next_tick(harness.now).since(harness.now)
+    };
+    let tick_interval = wait(&mut harness);
+    harness.deliver(GatewayEvent::TargetListed(TargetEntry {
+        group: "other".to_string(),
+        ..entry(7)
+    }));
+    assert_eq!(wait(&mut harness), tick_interval);
+    assert!(harness.targets.connections_to(7).is_empty());
+}
