Order promotions on the present list of targets only

Cause: a promotion relies on having asked all targets, and nothing tied it to a recent list. The duty comes from a call to the store, the list from the watch, which comes back later.

The holder of the duty reads the entries of all targets, adds those that it did not know, and repeats the survey if some were not asked. The list is at most 1 s old at the pause and at the choice, and 1.5 s when the order is sent. Cost: one list for each promotion.

Lines restart_possible share the budget of log lines.

--- a/crates/gateway/src/action.rs
+++ b/crates/gateway/src/action.rs
@@ -119,6 +119,13 @@
     GroupSizesRead(Vec<(String, u8)>),
     /// The live instances were counted, this one included.
     InstancesCounted(usize),
+    /// Answer to [`GatewayAction::ListTargets`].
+    TargetsListed {
+        /// Time at which the store was asked, or earlier.
+        asked_at: MonoTime,
+        /// The entries of all targets; `None` if the store did not answer.
+        entries: Option<Vec<TargetEntry>>,
+    },
     /// Answer to [`GatewayAction::AcquireDuty`].
     DutyAnswered(Result<DutyToken, DutyRefusal>),
     /// Answer to [`GatewayAction::OrderPromotion`].
@@ -234,6 +241,9 @@
     /// Acquire the duty, the right to order promotions. The result is
     /// [`GatewayEvent::DutyAnswered`].
     AcquireDuty,
+    /// Read the present entries of all targets from the store. The result is
+    /// [`GatewayEvent::TargetsListed`].
+    ListTargets,
     /// Release the duty.
     ReleaseDuty,
     /// Order the promotion of a target from the platform. The result is
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -78,6 +78,8 @@
     pub(crate) data_centres: usize,
     pub(crate) homes: HomeTable,
     pub(crate) duty: DutyState,
+    /// Whether the present list of targets has been requested and not been read.
+    pub(crate) is_listing: bool,
     /// When the duty could last not be acquired because the store did not answer.
     pub(crate) duty_unavailable_at: Option<MonoTime>,
     /// When the complete list of targets was first read; `None` before that.
@@ -111,6 +113,7 @@
             data_centres: 1,
             homes: HomeTable::default(),
             duty: DutyState::None,
+            is_listing: false,
             duty_unavailable_at: None,
             list_complete_since: None,
             is_stopping: false,
@@ -170,6 +173,9 @@
             GatewayEvent::InstancesCounted(count) => {
                 self.update_instance_count(count, now);
             }
+            GatewayEvent::TargetsListed { asked_at, entries } => {
+                self.handle_target_list(asked_at, entries, now);
+            }
             GatewayEvent::DutyAnswered(answer) => self.handle_duty_answer(answer, now),
             GatewayEvent::PromotionOrdered { group, reply } => {
                 self.handle_order_reply(&group, reply, now);
@@ -295,7 +301,7 @@
         index
     }
 
-    fn apply_target_entry(&mut self, entry: TargetEntry, now: MonoTime) {
+    pub(crate) fn apply_target_entry(&mut self, entry: TargetEntry, now: MonoTime) {
         let group = self.group_index(&entry.group, now);
         let state = &mut self.groups[group.0];
         let is_relisted = state.forget_removed(&entry.target, entry.incarnation);
--- a/crates/gateway/src/promotion.rs
+++ b/crates/gateway/src/promotion.rs
@@ -4,7 +4,9 @@
 //! A run first asks every target for its status and then decides: it ends if a primary answers,
 //! plans a handover if the primary is to step down, and otherwise plans a replacement. Only
 //! then does the run acquire the duty of ordering promotions, so that false alarms cost the store
-//! nothing. Before the order it asks every target to pause, except a primary that stepped down.
+//! nothing. The holder of the duty reads the present list of targets, as an instance may know an old
+//! one although it has the store again; if targets have come, it asks all of them once more.
+//! Before the order it asks every target to pause, except a primary that stepped down.
 //! Paused replicas accept no records of lower terms, so that a primary that is only cut off gets no
 //! more commits acknowledged. At most as many targets may fail to answer as there are replicas with
 //! a copy of each commit. Every acknowledged commit is then in the log of a paused target, and the
@@ -34,6 +36,7 @@
 use crate::message::StatusReport;
 use crate::message::TargetCall;
 use crate::pool::ControlPurpose;
+use crate::promotion_steps::MAX_LIST_AGE;
 
 /// Why a promotion was considered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -70,6 +73,8 @@
     Survey,
     /// Waits for the duty.
     Duty,
+    /// Waits for the present list of targets.
+    List,
     /// Asks the old primary to step down.
     StepDown,
     /// Waits for a replica to receive the whole log of the old primary.
@@ -111,6 +116,10 @@
     pub call: TargetCall,
     /// Old primary that stepped down, and the end of its log.
     pub stepped_down: Option<(TargetIndex, GroupPosition)>,
+    /// Targets that the survey asked.
+    pub surveyed: Vec<TargetIndex>,
+    /// Time for which the run knows the list of targets, once it holds the duty.
+    pub list_read_at: Option<MonoTime>,
     /// Targets that the run asked to pause.
     pub paused: Vec<TargetIndex>,
     pub successor: Option<TargetIndex>,
@@ -134,6 +143,8 @@
             replies: Vec::new(),
             call: TargetCall::Status,
             stepped_down: None,
+            surveyed: Vec::new(),
+            list_read_at: None,
             paused: Vec::new(),
             successor: None,
             outcome: "resumed",
@@ -167,6 +178,11 @@
             .any(|(_, reply)| *reply == TargetReply::Pending)
     }
 
+    /// Returns how old the list of targets is that the run knows; `None` before it holds the duty.
+    pub fn list_age(&self, now: MonoTime) -> Option<Duration> {
+        self.list_read_at.map(|read_at| now.since(read_at))
+    }
+
     /// Iterates over the status reports of the current step.
     pub fn reports(&self) -> impl Iterator<Item = (TargetIndex, StatusReport)> {
         self.replies.iter().filter_map(|(i, reply)| match reply {
@@ -305,6 +321,11 @@
             self.end_promotion(group, "promoted_meanwhile", now);
             return;
         }
+        let has_list = run.list_age(now).is_some_and(|age| age <= MAX_LIST_AGE);
+        if run.plan != PromotionPlan::Resume && !has_list {
+            self.list_targets(group, now);
+            return;
+        }
         match run.plan {
             PromotionPlan::Replace => self.pause_targets(group, now),
             PromotionPlan::Handover(primary) => {
@@ -431,7 +452,11 @@
                 self.duty = DutyState::None;
                 self.end_promotion(group, "duty_not_answered", now);
             }
-            PromotionStep::Duty => {}
+            PromotionStep::List if elapsed >= limit * 4 => {
+                self.is_listing = false;
+                self.end_promotion(group, "list_not_answered", now);
+            }
+            PromotionStep::Duty | PromotionStep::List => {}
             PromotionStep::Survey if is_step_over => self.evaluate_survey(group, now),
             PromotionStep::StepDown if is_step_over => self.handle_step_down(group, now),
             PromotionStep::CatchUp => self.advance_catch_up(group, now),
@@ -477,6 +502,7 @@
         if let Some(run) = &mut self.groups[group.0].promotion {
             run.fencing_term = fencing_term;
             run.old_term = newest_term;
+            run.surveyed = run.replies.iter().map(|(target, _)| *target).collect();
         }
         let Some((leading_target, _)) = leading_target else {
             if self.has_live_silent_target(group, now) {
--- a/crates/gateway/src/promotion_steps.rs
+++ b/crates/gateway/src/promotion_steps.rs
@@ -9,8 +9,10 @@
 use heatherhollow_types::TargetIndex;
 use heatherhollow_types::TermNumber;
 
+use crate::action::DutyToken;
 use crate::action::GatewayAction;
 use crate::action::OrderReply;
+use crate::catalog::TargetEntry;
 use crate::catalog::TargetRole;
 use crate::core::DutyState;
 use crate::core::SessionGateway;
@@ -28,7 +30,69 @@
 /// Longest wait for a replica to receive the log of a primary that stepped down.
 const CATCH_UP_LIMIT: Duration = Duration::from_millis(300);
 
+/// Greatest age of the list of targets when the targets are paused and when the successor is chosen.
+/// A target that is listed later does not count as a copy for 1.5 s, so the order and most of its
+/// effect are over by then.
+pub(crate) const MAX_LIST_AGE: Duration = Duration::from_millis(1_000);
+
+/// Greatest age of the list of targets when the order is sent, unless the primary stepped down.
+const MAX_ORDER_AGE: Duration = Duration::from_millis(1_500);
+
 impl SessionGateway {
+    /// Requests the present list of targets for a run that holds the duty.
+    pub(crate) fn list_targets(&mut self, group: GroupIndex, now: MonoTime) {
+        if let Some(run) = &mut self.groups[group.0].promotion {
+            run.set_step(PromotionStep::List, Vec::new(), now);
+        }
+        if !self.is_listing {
+            self.is_listing = true;
+            self.actions.push(GatewayAction::ListTargets);
+        }
+    }
+
+    /// Adds targets that this instance did not know, and goes on with the runs that wait for the
+    /// list. A run asks all targets again if its survey did not ask some of them.
+    ///
+    /// Entries of known targets are left to the watch of the store, which delivers them in order.
+    pub(crate) fn handle_target_list(
+        &mut self,
+        asked_at: MonoTime,
+        entries: Option<Vec<TargetEntry>>,
+        now: MonoTime,
+    ) {
+        self.is_listing = false;
+        let is_read = entries.is_some();
+        for entry in entries.into_iter().flatten() {
+            let group = self.group_index(&entry.group, now);
+            if self.groups[group.0].target_index(&entry.target).is_none() {
+                self.apply_target_entry(entry, now);
+            }
+        }
+        for i in 0..self.groups.len() {
+            let group = GroupIndex(i);
+            let targets = self.all_targets(group);
+            let Some(run) = &mut self.groups[i].promotion else {
+                continue;
+            };
+            if run.step != PromotionStep::List {
+                continue;
+            }
+            if !is_read {
+                self.end_promotion(group, "list_not_read", now);
+                continue;
+            }
+            run.list_read_at = Some(asked_at);
+            let is_surveyed = targets.iter().all(|target| run.surveyed.contains(target));
+            if is_surveyed {
+                self.execute_plan(group, now);
+            } else {
+                info!("survey_repeated group={}", self.groups[i].name);
+                let step = PromotionStep::Survey;
+                self.start_step(group, step, targets, TargetCall::Status, now);
+            }
+        }
+    }
+
     /// Evaluates the old primary's reply to the call to step down, and starts the catch-up.
     pub(crate) fn handle_step_down(&mut self, group: GroupIndex, now: MonoTime) {
         let Some(run) = &mut self.groups[group.0].promotion else {
@@ -110,6 +174,12 @@
             self.abandon_promotion(group, "promoted_meanwhile", now);
             return;
         }
+        let has_stepped_down = run.stepped_down.is_some();
+        let list_read_at = run.list_read_at.unwrap_or(MonoTime::ZERO);
+        if !has_stepped_down && now.since(list_read_at) > MAX_LIST_AGE {
+            self.abandon_promotion(group, "list_outdated", now);
+            return;
+        }
         let known_logs = fenced.len() + usize::from(run.stepped_down.is_some());
         let quorum = state.promotion_quorum(now);
         let lacks_quorum = known_logs < quorum;
@@ -156,10 +226,17 @@
             token.number,
             now.since(run.started_at).as_millis()
         );
+        let valid_until = match has_stepped_down {
+            true => token.valid_until,
+            false => token.valid_until.min(list_read_at + MAX_ORDER_AGE),
+        };
         self.actions.push(GatewayAction::OrderPromotion {
             group: state.name.clone(),
             target: pool.entry.target.clone(),
-            token,
+            token: DutyToken {
+                valid_until,
+                ..token
+            },
         });
         if let Some(run) = &mut self.groups[group.0].promotion {
             run.successor = Some(successor);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -504,6 +504,15 @@
         }
     }
 
+    fn log_restart(&self, location: ConnectionLocation) {
+        if let Some(pool) = self.groups[location.group.0].pool(location.target) {
+            info!(
+                "restart_possible group={} target={} connection={}",
+                pool.entry.group, pool.entry.target, location.connection
+            );
+        }
+    }
+
     /// Updates what is known about a target and its group from an answer.
     pub(crate) fn observe_answer(
         &mut self,
@@ -513,14 +522,13 @@
         now: MonoTime,
     ) {
         let state = &mut self.groups[location.group.0];
-        if let Some(pool) = state.pool_mut(location.target)
-            && pool.record_answer(location.connection, sent_at, now)
-        {
-            info!(
-                "restart_possible group={} target={} connection={}",
-                pool.entry.group, pool.entry.target, location.connection
-            );
+        let may_have_restarted = state
+            .pool_mut(location.target)
+            .is_some_and(|pool| pool.record_answer(location.connection, sent_at, now));
+        if may_have_restarted && self.may_log(now) {
+            self.log_restart(location);
         }
+        let state = &mut self.groups[location.group.0];
         let is_primary = state.primary == Some(location.target);
         if is_primary {
             state.monitor.probe_answered(now);
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -14,6 +14,7 @@
 use heatherhollow_gateway::ClientQuery;
 use heatherhollow_gateway::ConnectError;
 use heatherhollow_gateway::ConnectionId;
+use heatherhollow_gateway::DutyToken;
 use heatherhollow_gateway::GatewayAction;
 use heatherhollow_gateway::GatewayEvent;
 use heatherhollow_gateway::GatewaySettings;
@@ -50,6 +51,8 @@
     pub setup_calls: Vec<TargetCall>,
     /// Targets that received a status call, in order.
     pub status_queries: Vec<usize>,
+    /// Targets whose entries the store has when the gateway lists them.
+    pub listed: Vec<usize>,
     /// Sizes of the group that the gateway has stored, in order.
     pub stored_sizes: Vec<u8>,
     /// Whether the gateway has requested the promotion duty.
@@ -92,6 +95,7 @@
             answers: Vec::new(),
             setup_calls: Vec::new(),
             status_queries: Vec::new(),
+            listed: Vec::new(),
             stored_sizes: Vec::new(),
             has_requested_duty: false,
             orders: Vec::new(),
@@ -103,6 +107,7 @@
 
     /// Delivers a complete list with some of the targets.
     pub fn list_targets(&mut self, listed: &[usize]) {
+        self.listed = listed.to_vec();
         let entries = listed.iter().map(|target| entry(*target)).collect();
         self.deliver(GatewayEvent::TargetsRead(entries));
     }
@@ -160,6 +165,13 @@
                 self.stored_sizes.push(size);
                 Some(GatewayEvent::GroupSizeRead(group, size))
             }
+            GatewayAction::ListTargets => {
+                let entries = self.listed.iter().map(|target| entry(*target));
+                Some(GatewayEvent::TargetsListed {
+                    asked_at: self.now,
+                    entries: Some(entries.collect()),
+                })
+            }
             GatewayAction::AcquireDuty => {
                 self.has_requested_duty = true;
                 None
@@ -224,6 +236,19 @@
         self.answers.pop()
     }
 
+    /// Grants each request for the duty for some seconds.
+    pub fn grant_duty(&mut self, seconds: u64) {
+        for _ in 0..seconds * 50 {
+            self.advance(20);
+            if std::mem::take(&mut self.has_requested_duty) {
+                self.deliver(GatewayEvent::DutyAnswered(Ok(DutyToken {
+                    number: 7,
+                    valid_until: self.now + Duration::from_secs(3),
+                })));
+            }
+        }
+    }
+
     /// Closes all connections to a target, as its restart does.
     pub fn close_connections(&mut self, target: usize) {
         for connection in self.targets.connections_to(target) {
--- a/crates/gateway/tests/load/mod.rs
+++ b/crates/gateway/tests/load/mod.rs
@@ -391,6 +391,13 @@
                 let read = GatewayEvent::GroupSizeRead(group, size);
                 self.schedule_after(LINK_DELAY, SimEvent::Deliver(read));
             }
+            GatewayAction::ListTargets => {
+                let listed = GatewayEvent::TargetsListed {
+                    asked_at: self.now,
+                    entries: Some((0..TARGETS).map(target_entry).collect()),
+                };
+                self.schedule_after(LINK_DELAY, SimEvent::Deliver(listed));
+            }
             GatewayAction::ReleaseDuty => {}
             other => panic!("unexpected gateway action: {other:?}"),
         }
--- a/crates/gateway/tests/members.rs
+++ b/crates/gateway/tests/members.rs
@@ -11,6 +11,7 @@
 
 use heatherhollow_gateway::DutyToken;
 use heatherhollow_gateway::GatewayEvent;
+use heatherhollow_gateway::SessionState;
 use heatherhollow_gateway::Statement;
 use heatherhollow_gateway::TargetCall;
 use heatherhollow_gateway::TargetEntry;
@@ -20,6 +21,7 @@
 use fake_targets::FakeTargets;
 use fake_targets::GROUP;
 use fake_targets::entry;
+use fake_targets::success;
 use harness::GatewayHarness;
 
 /// Position of the last acknowledged commit.
@@ -58,16 +60,7 @@
 /// Grants each request for the duty and returns the targets whose promotion is ordered within eight
 /// seconds.
 fn ordered_targets(mut harness: GatewayHarness) -> Vec<String> {
-    for _ in 0..400 {
-        harness.advance(20);
-        if harness.has_requested_duty {
-            harness.has_requested_duty = false;
-            harness.deliver(GatewayEvent::DutyAnswered(Ok(DutyToken {
-                number: 7,
-                valid_until: harness.now + Duration::from_secs(3),
-            })));
-        }
-    }
+    harness.grant_duty(8);
     harness.orders
 }
 
@@ -192,3 +185,49 @@
     assert_eq!(wait(&mut harness), tick_interval);
     assert!(harness.targets.connections_to(7).is_empty());
 }
+
+/// Guards against the loss of commits: an instance that has the store again, but not yet its list,
+/// knows neither the primary of term 2, target 3, nor the replica that came with it.
+#[test]
+fn promotion_is_ordered_on_the_present_list_only() {
+    let mut harness = start(Some(3), &[0, 1, 2], vec![0]);
+    for _ in 0..30 {
+        harness.advance(100);
+    }
+    harness.targets.successor = Some(3);
+    harness.targets.unaware = vec![4];
+    harness.listed = vec![1, 2, 3, 4];
+    harness.grant_duty(8);
+    assert_eq!(harness.orders, Vec::<String>::new());
+    let is_pause = |(_, call): &(usize, TargetCall)| matches!(call, TargetCall::Pause(_));
+    assert!(!harness.targets.calls.iter().any(is_pause));
+}
+
+/// Guards against a promotion after a pause of the instance, or of its calls to the store, during
+/// which targets may have come.
+#[test]
+fn promotion_is_not_ordered_on_an_old_list() {
+    let mut harness = start(Some(3), &[0, 1, 2], vec![0]);
+    for _ in 0..300 {
+        if !harness.has_requested_duty {
+            harness.advance(20);
+        }
+    }
+    harness.targets.silent = vec![0, 2];
+    harness.deliver(GatewayEvent::DutyAnswered(Ok(DutyToken {
+        number: 7,
+        valid_until: harness.now + Duration::from_secs(10),
+    })));
+    let is_pause = |call: &TargetCall| matches!(call, TargetCall::Pause(_));
+    let unanswered = harness.targets.unanswered.iter().rev();
+    let mut pauses =
+        unanswered.filter(|(id, call)| is_pause(call) && harness.targets.target(*id) == 2);
+    let (connection, _) = *pauses.next().expect("target 2 is asked to pause");
+    harness.now = harness.now + Duration::from_millis(1_100);
+    harness.targets.paused.push(2);
+    harness.deliver(GatewayEvent::TargetAnswered {
+        connection,
+        answer: success("paused", "-", SessionState::Idle),
+    });
+    assert_eq!(harness.orders, Vec::<String>::new());
+}
--- a/crates/gateway/tests/promises.rs
+++ b/crates/gateway/tests/promises.rs
@@ -312,7 +312,7 @@
     let is_detected = (0..400).any(|seed| {
         let options = ClusterOptions {
             ignores_pause: true,
-            ..options(3)
+            ..long_options(3)
         };
         !simulate(seed, options).violations.is_empty()
     });
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -569,6 +569,15 @@
                     self.schedule_delivery(instance, event, 15);
                 }
             }
+            GatewayAction::ListTargets => {
+                let listed = (0..3).filter(|target| !self.is_unlisted[*target]);
+                let entries = listed.map(|target| self.target_entry(target)).collect();
+                let event = GatewayEvent::TargetsListed {
+                    asked_at: self.now,
+                    entries: Some(entries),
+                };
+                self.schedule_delivery(instance, event, 4);
+            }
             GatewayAction::AcquireDuty => self.grant_duty(instance),
             GatewayAction::ReleaseDuty => self.release_duty(instance),
             GatewayAction::OrderPromotion { target, token, .. } => {
--- a/crates/runner/src/formats.rs
+++ b/crates/runner/src/formats.rs
@@ -83,6 +83,9 @@
     /// Returns the prefix of all watched paths: those of operators, targets and instances.
     fn watched_prefix(&self) -> &'static str;
 
+    /// Returns the prefix of the paths of the targets' entries.
+    fn targets_prefix(&self) -> &'static str;
+
     /// Decodes the value at a path; `None` means that the value was removed.
     fn decode(&self, path: &str, value: Option<&[u8]>) -> StoreValue;
 }
--- a/crates/runner/src/run.rs
+++ b/crates/runner/src/run.rs
@@ -32,6 +32,7 @@
 use heatherhollow_gateway::GatewaySettings;
 use heatherhollow_gateway::SessionGateway;
 use heatherhollow_gateway::StatusFormat;
+use heatherhollow_gateway::TargetEntry;
 use heatherhollow_ports::StorePort;
 use heatherhollow_types::MonoTime;
 
@@ -42,6 +43,7 @@
 use crate::duty::PromotionDuty;
 use crate::formats::CatalogFormat;
 use crate::formats::PromotionPort;
+use crate::formats::StoreValue;
 use crate::formats::WireFormat;
 use crate::group_sizes::store_size;
 use crate::link_table::LinkTable;
@@ -432,6 +434,16 @@
                     send_event(&events, GatewayEvent::DutyAnswered(answer));
                 });
             }
+            GatewayAction::ListTargets => {
+                let store = self.parts.store.clone();
+                let format = self.parts.catalog.clone();
+                let events = self.events.clone();
+                tokio::spawn(async move {
+                    let asked_at = clock::now();
+                    let entries = list_targets(&*store, &*format).await;
+                    send_event(&events, GatewayEvent::TargetsListed { asked_at, entries });
+                });
+            }
             GatewayAction::ReleaseDuty => {
                 let duty = self.duty.clone();
                 tokio::spawn(async move { duty.release().await });
@@ -519,6 +531,25 @@
     }
 }
 
+/// Reads the entries of all targets; `None` if the store does not answer.
+async fn list_targets(
+    store: &dyn StorePort,
+    format: &dyn CatalogFormat,
+) -> Option<Vec<TargetEntry>> {
+    let listed = store.list(format.targets_prefix()).await;
+    let (entries, _) = listed
+        .inspect_err(|error| info!("targets_not_listed error={:?}", error.to_string()))
+        .ok()?;
+    let targets =
+        entries.iter().filter_map(
+            |entry| match format.decode(&entry.path, Some(&entry.value)) {
+                StoreValue::Target(target) => Some(target),
+                _ => None,
+            },
+        );
+    Some(targets.collect())
+}
+
 fn send_text(sender: &UnboundedSender<Bytes>, text: String) {
     // Sending fails if the connection has ended; its task reports that as an event.
     let _is_received = sender.send(Bytes::from(text)).is_ok();
