End lines of clients and targets at CR LF only

A user whose text an application stores could run statements.

Cause: input was split with a codec that takes a line feed alone for an end; the protocol's lines end with CR LF.

Ruled out: that targets split texts with line feeds.

Lines are split at CR LF only, and other carriage returns and line feeds are passed on unchanged. What follows the last end of a connection is no line any more; a client that left within its line had the beginning run.

--- a/crates/runner/src/clients.rs
+++ b/crates/runner/src/clients.rs
@@ -19,8 +19,6 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio_util::codec::FramedRead;
-use tokio_util::codec::LinesCodec;
-use tokio_util::codec::LinesCodecError;
 
 use heatherhollow_gateway::ClientCode;
 use heatherhollow_gateway::ClientId;
@@ -28,6 +26,8 @@
 
 use crate::formats::ClientInput;
 use crate::formats::WireFormat;
+use crate::line_decoder::LineDecoder;
+use crate::line_decoder::LineError;
 use crate::links::LinkEvent;
 use crate::socket::set_socket_options;
 
@@ -98,8 +98,8 @@
 ) {
     set_socket_options(&stream);
     let (reader, mut writer) = stream.into_split();
-    let codec = LinesCodec::new_with_max_length(MAX_LINE_BYTES);
-    let mut lines = FramedRead::with_capacity(reader, codec, READ_BUFFER_BYTES);
+    let decoder = LineDecoder::new(MAX_LINE_BYTES);
+    let mut lines = FramedRead::with_capacity(reader, decoder, READ_BUFFER_BYTES);
     let error = loop {
         tokio::select! {
             biased;
@@ -122,12 +122,10 @@
                     }
                 },
                 Some(Err(error)) => {
-                    let code = match &error {
-                        LinesCodecError::MaxLineLengthExceeded => ClientCode::TooLarge,
-                        LinesCodecError::Io(error) if error.kind() != io::ErrorKind::InvalidData => {
-                            break None;
-                        }
-                        LinesCodecError::Io(_) => ClientCode::Malformed,
+                    let code = match error {
+                        LineError::TooLong(_) => ClientCode::TooLarge,
+                        LineError::NotText => ClientCode::Malformed,
+                        LineError::Io(_) => break None,
                     };
                     let event = GatewayEvent::ClientMalformed { client, code };
                     if events.send(RunnerEvent::Gateway(event)).is_err() {
--- a/crates/runner/src/targets.rs
+++ b/crates/runner/src/targets.rs
@@ -14,7 +14,6 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio_util::codec::FramedRead;
-use tokio_util::codec::LinesCodec;
 
 use heatherhollow_gateway::AnswerEnd;
 use heatherhollow_gateway::ConnectError;
@@ -29,6 +28,7 @@
 use crate::clients::write_queued;
 use crate::formats::TargetLine;
 use crate::formats::WireFormat;
+use crate::line_decoder::LineDecoder;
 use crate::socket::reset_on_close;
 use crate::socket::set_socket_options;
 
@@ -136,8 +136,8 @@
     set_socket_options(&stream);
     reset_on_close(&stream);
     let (reader, mut writer) = stream.into_split();
-    let codec = LinesCodec::new_with_max_length(MAX_LINE_BYTES);
-    let mut lines = FramedRead::with_capacity(reader, codec, READ_BUFFER_BYTES);
+    let decoder = LineDecoder::new(MAX_LINE_BYTES);
+    let mut lines = FramedRead::with_capacity(reader, decoder, READ_BUFFER_BYTES);
     let mut partial = PartialAnswer::default();
     if !send(GatewayEvent::TargetOpened(connection)) {
         return;
