--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -34,6 +34,7 @@
 use crate::fake_targets::FakeTargets;
 use crate::fake_targets::RoleFormat;
 use crate::fake_targets::entry;
+use crate::fake_targets::success;
 
 /// A client statement sent to a target and not answered yet: connection, target and call.
 pub type PendingCall = (ConnectionId, usize, TargetCall);
@@ -236,6 +237,31 @@
         self.answers.pop()
     }
 
+    /// Waits until the gateway requests the duty, and grants it; `silent` targets do not answer from
+    /// then on.
+    pub fn begin_promotion(&mut self, silent: Vec<usize>) {
+        for _ in 0..300 {
+            if !self.has_requested_duty {
+                self.advance(20);
+            }
+        }
+        self.targets.silent = silent;
+        self.deliver(GatewayEvent::DutyAnswered(Ok(DutyToken {
+            number: 7,
+            valid_until: self.now + Duration::from_secs(10),
+        })));
+    }
+
+    /// Lets a silent target answer that it is paused.
+    pub fn answer_pause(&mut self, target: usize) {
+        let is_pause = |call: &TargetCall| matches!(call, TargetCall::Pause(_));
+        let mut calls = self.targets.unanswered.iter().rev();
+        let pause = calls.find(|(id, call)| is_pause(call) && self.targets.target(*id) == target);
+        let (connection, _) = *pause.expect("the target is asked to pause");
+        let answer = success("paused", "-", SessionState::Idle);
+        self.deliver(GatewayEvent::TargetAnswered { connection, answer });
+    }
+
     /// Grants each request for the duty for some seconds.
     pub fn grant_duty(&mut self, seconds: u64) {
         for _ in 0..seconds * 50 {
--- a/crates/gateway/tests/members.rs
+++ b/crates/gateway/tests/members.rs
@@ -9,9 +9,7 @@
 
 use std::time::Duration;
 
-use heatherhollow_gateway::DutyToken;
 use heatherhollow_gateway::GatewayEvent;
-use heatherhollow_gateway::SessionState;
 use heatherhollow_gateway::Statement;
 use heatherhollow_gateway::TargetCall;
 use heatherhollow_gateway::TargetEntry;
@@ -21,7 +19,6 @@
 use fake_targets::FakeTargets;
 use fake_targets::GROUP;
 use fake_targets::entry;
-use fake_targets::success;
 use harness::GatewayHarness;
 
 /// Position of the last acknowledged commit.
@@ -208,26 +205,9 @@
 #[test]
 fn promotion_is_not_ordered_on_an_old_list() {
     let mut harness = start(Some(3), &[0, 1, 2], vec![0]);
-    for _ in 0..300 {
-        if !harness.has_requested_duty {
-            harness.advance(20);
-        }
-    }
-    harness.targets.silent = vec![0, 2];
-    harness.deliver(GatewayEvent::DutyAnswered(Ok(DutyToken {
-        number: 7,
-        valid_until: harness.now + Duration::from_secs(10),
-    })));
-    let is_pause = |call: &TargetCall| matches!(call, TargetCall::Pause(_));
-    let unanswered = harness.targets.unanswered.iter().rev();
-    let mut pauses =
-        unanswered.filter(|(id, call)| is_pause(call) && harness.targets.target(*id) == 2);
-    let (connection, _) = *pauses.next().expect("target 2 is asked to pause");
+    harness.begin_promotion(vec![0, 2]);
     harness.now = harness.now + Duration::from_millis(1_100);
     harness.targets.paused.push(2);
-    harness.deliver(GatewayEvent::TargetAnswered {
-        connection,
-        answer: success("paused", "-", SessionState::Idle),
-    });
+    harness.answer_pause(2);
     assert_eq!(harness.orders, Vec::<String>::new());
 }
--- a/crates/gateway/tests/restarts.rs
+++ b/crates/gateway/tests/restarts.rs
@@ -11,12 +11,9 @@
 
 use heatherhollow_gateway::ClientAnswer;
 use heatherhollow_gateway::ClientCode;
-use heatherhollow_gateway::DutyToken;
-use heatherhollow_gateway::GatewayEvent;
 use heatherhollow_gateway::SessionState;
 use heatherhollow_gateway::Statement;
 use heatherhollow_gateway::TargetAnswer;
-use heatherhollow_gateway::TargetCall;
 use heatherhollow_types::GroupPosition;
 
 use fake_targets::success;
@@ -89,16 +86,7 @@
 fn ordered_targets(restarts: bool) -> Vec<String> {
     let mut harness = GatewayHarness::new("present");
     harness.targets.silent = vec![0];
-    for _ in 0..300 {
-        if !harness.has_requested_duty {
-            harness.advance(20);
-        }
-    }
-    harness.targets.silent = vec![0, 2];
-    harness.deliver(GatewayEvent::DutyAnswered(Ok(DutyToken {
-        number: 7,
-        valid_until: harness.now + Duration::from_secs(10),
-    })));
+    harness.begin_promotion(vec![0, 2]);
     for _ in 0..5 {
         harness.advance(10);
     }
@@ -106,18 +94,7 @@
         harness.targets.silent = vec![0, 1, 2];
         harness.close_connections(1);
     }
-    let is_pause = |call: &TargetCall| matches!(call, TargetCall::Pause(_));
-    let pause = harness
-        .targets
-        .unanswered
-        .iter()
-        .rev()
-        .find(|(id, call)| is_pause(call) && harness.targets.target(*id) == 2);
-    let (connection, _) = *pause.expect("target 2 is asked to pause");
-    harness.deliver(GatewayEvent::TargetAnswered {
-        connection,
-        answer: success("paused", "-", SessionState::Idle),
-    });
+    harness.answer_pause(2);
     for _ in 0..50 {
         harness.advance(20);
     }
--- a/crates/heatherhollow/tests/malformed.rs
+++ b/crates/heatherhollow/tests/malformed.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 
 use heatherhollow_soak::SoakFault;
+use heatherhollow_soak::odd_entries;
 
 use cluster::Cluster;
 use cluster::WAIT_LIMIT;
@@ -89,25 +90,6 @@
     });
 }
 
-/// Entry of a target that can be used.
-const ENTRY: &str = r#"{"Service":"ledger","Address":"127.0.0.1:9","Zone":"dc","Slots":3,
-    "State":"ready","DbRole":"replica","Sequence":4,"born":17}"#;
-
-/// Returns values of an entry of a target that another writer may leave.
-fn odd_entries() -> Vec<String> {
-    let deep = "[".repeat(100_000) + &"]".repeat(100_000);
-    vec![
-        deep.clone(),
-        ENTRY.replace("\"ledger\"", &deep),
-        ENTRY.replace("3,", "1e999,"),
-        ENTRY.replace("17", "18446744073709551615"),
-        ENTRY.replace(":9\"", ":65536\""),
-        ENTRY.replace(":9\"", ":0\""),
-        ENTRY.replace("ready", &"x".repeat(100_000)),
-        "\u{0}".to_string(),
-    ]
-}
-
 /// Guards against instances that end, or stop following the store, because of an odd entry among
 /// those of the targets, and against a promotion that counts it. The entries come while instances
 /// run, and are there when one starts.
