Correct the comment on the age of the list of targets

It said that a promotion's effect is mostly over before a target that is listed later counts as a copy; the order may go out with a list of 1.5 s, and the effect takes some hundred milliseconds more. Comment only.

--- a/crates/gateway/src/promotion_steps.rs
+++ b/crates/gateway/src/promotion_steps.rs
@@ -31,8 +31,7 @@
 const CATCH_UP_LIMIT: Duration = Duration::from_millis(300);
 
 /// Greatest age of the list of targets when the targets are paused and when the successor is chosen.
-/// A target that is listed later does not count as a copy for 1.5 s, so the order and most of its
-/// effect are over by then.
+/// A target that is listed later may take records, and counts as a copy 1.5 s after it is listed.
 pub(crate) const MAX_LIST_AGE: Duration = Duration::from_millis(1_000);
 
 /// Greatest age of the list of targets when the order is sent, unless the primary stepped down.
