--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -1042,9 +1042,9 @@
 /// Prepared statements that a home keeps after the client has closed them.
 fn case_closed_names(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
     let load = Load {
-        shape_bytes: 24 << 10,
+        shape_bytes: 144 << 10,
         closes_names: has_trouble,
-        pause: Duration::from_millis(30),
+        pause: Duration::from_millis(45),
     };
     run_memory_case("closed-names", record, 6, 4, load, 100)
 }
