--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -130,7 +130,9 @@
                         }
                         b',' => *at += 1,
                         _ => {
-                            let Json::Text(name) = Self::value(text, at)? else { return None };
+                            let Json::Text(name) = Self::value(text, at)? else {
+                                return None;
+                            };
                             Self::blank(text, at);
                             *at += 1;
                             table.push((name, Self::value(text, at)?));
@@ -193,10 +195,17 @@
             }
             _ => {
                 let start = *at;
-                while text.get(*at).is_some_and(|c| b"+-.eE0123456789".contains(c)) {
+                while text
+                    .get(*at)
+                    .is_some_and(|c| b"+-.eE0123456789".contains(c))
+                {
                     *at += 1;
                 }
-                std::str::from_utf8(&text[start..*at]).ok()?.parse().ok().map(Json::Number)
+                std::str::from_utf8(&text[start..*at])
+                    .ok()?
+                    .parse()
+                    .ok()
+                    .map(Json::Number)
             }
         }
     }
@@ -204,7 +213,10 @@
     fn get(&self, name: &str) -> &Json {
         static NULL: Json = Json::Null;
         match self {
-            Json::Table(table) => table.iter().find(|(n, _)| n == name).map_or(&NULL, |(_, v)| v),
+            Json::Table(table) => table
+                .iter()
+                .find(|(n, _)| n == name)
+                .map_or(&NULL, |(_, v)| v),
             _ => &NULL,
         }
     }
@@ -253,7 +265,9 @@
     let mut out = Vec::new();
     let (mut n, mut bits) = (0_u32, 0);
     for c in text.bytes() {
-        let Some(value) = BASE64.iter().position(|known| *known == c) else { continue };
+        let Some(value) = BASE64.iter().position(|known| *known == c) else {
+            continue;
+        };
         n = (n << 6) | value as u32;
         bits += 6;
         if bits >= 8 {
@@ -306,7 +320,14 @@
     fn put(&mut self, key: &str, value: Option<Vec<u8>>, lease: u64) {
         self.revision += 1;
         let revision = self.revision;
-        self.items.insert(key.to_string(), Item { value, revision, lease });
+        self.items.insert(
+            key.to_string(),
+            Item {
+                value,
+                revision,
+                lease,
+            },
+        );
     }
 
     fn expire(&mut self) {
@@ -338,7 +359,10 @@
         changed.sort_by_key(|(_, item)| item.revision);
         let encoded = changed.into_iter().map(|(key, item)| match self.item(key) {
             Some(item) => item,
-            None => format!("{{\"Key\":\"{key}\",\"Revision\":{},\"Deleted\":true}}", item.revision),
+            None => format!(
+                "{{\"Key\":\"{key}\",\"Revision\":{},\"Deleted\":true}}",
+                item.revision
+            ),
         });
         encoded.collect()
     }
@@ -346,8 +370,14 @@
 
 impl Store {
     fn start() -> (Arc<Self>, SocketAddr) {
-        let state = StoreState { revision: 1, ..StoreState::default() };
-        let store = Arc::new(Self { state: Mutex::new(state), changed: Condvar::new() });
+        let state = StoreState {
+            revision: 1,
+            ..StoreState::default()
+        };
+        let store = Arc::new(Self {
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+        });
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("the listener has an address");
         let serving = store.clone();
@@ -408,7 +438,10 @@
     fn call(&self, method: &str, path: &str, query: &str, body: &[u8]) -> (u16, String) {
         let field = |name: &str| {
             let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            let found = pairs.filter(|(n, _)| *n == name).map(|(_, v)| decode_percent(v)).next();
+            let found = pairs
+                .filter(|(n, _)| *n == name)
+                .map(|(_, v)| decode_percent(v))
+                .next();
             found.unwrap_or_default()
         };
         let body = Json::parse(body).unwrap_or(Json::Null);
@@ -418,15 +451,30 @@
             ("GET", "/api/kv-key") => match state.item(&field("Key")) {
                 Some(item) => {
                     let as_of = state.revision;
-                    (200, format!("{},\"AsOf\":{as_of}}}", &item[..item.len() - 1]))
+                    (
+                        200,
+                        format!("{},\"AsOf\":{as_of}}}", &item[..item.len() - 1]),
+                    )
                 }
                 None => (404, format!("{{\"AsOf\":{}}}", state.revision)),
             },
             ("GET", "/api/kv-range") => {
                 let (prefix, after) = (field("PathPrefix"), field("after"));
-                let keys = state.items.keys().filter(|k| k.starts_with(&prefix) && **k > after);
-                let items = keys.filter_map(|key| state.item(key)).collect::<Vec<_>>().join(",");
-                (200, format!("{{\"items\":[{items}],\"HasMore\":false,\"AsOf\":{}}}", state.revision))
+                let keys = state
+                    .items
+                    .keys()
+                    .filter(|k| k.starts_with(&prefix) && **k > after);
+                let items = keys
+                    .filter_map(|key| state.item(key))
+                    .collect::<Vec<_>>()
+                    .join(",");
+                (
+                    200,
+                    format!(
+                        "{{\"items\":[{items}],\"HasMore\":false,\"AsOf\":{}}}",
+                        state.revision
+                    ),
+                )
             }
             ("GET", "/api/kv-watch") => {
                 let (prefix, after) = (field("PathPrefix"), field("after").parse().unwrap_or(0));
@@ -438,7 +486,10 @@
                     let left = deadline.saturating_duration_since(Instant::now());
                     if !events.is_empty() || left.is_zero() {
                         let events = events.join(",");
-                        return (200, format!("{{\"events\":[{events}],\"AsOf\":{}}}", state.revision));
+                        return (
+                            200,
+                            format!("{{\"events\":[{events}],\"AsOf\":{}}}", state.revision),
+                        );
                     }
                     let pause = left.min(Duration::from_millis(100));
                     let waited = self.changed.wait_timeout(state, pause);
@@ -451,7 +502,8 @@
                     let found = state.items.get(key).filter(|item| item.value.is_some());
                     if found.map_or(0, |item| item.revision) != expected.get("Revision").number() {
                         let item = state.item(key);
-                        let item = item.unwrap_or_else(|| format!("{{\"Key\":\"{key}\",\"Revision\":0}}"));
+                        let item =
+                            item.unwrap_or_else(|| format!("{{\"Key\":\"{key}\",\"Revision\":0}}"));
                         return (412, format!("{{\"items\":[{item}]}}"));
                     }
                 }
@@ -479,7 +531,11 @@
             }
             ("POST", "/promote") => (409, "{}".to_string()),
             _ => {
-                let lease = path.rsplit('/').next().and_then(|id| id.parse::<u64>().ok()).unwrap_or(0);
+                let lease = path
+                    .rsplit('/')
+                    .next()
+                    .and_then(|id| id.parse::<u64>().ok())
+                    .unwrap_or(0);
                 let Some((span, ends_at)) = state.leases.get_mut(&lease) else {
                     return (404, "{}".to_string());
                 };
@@ -511,7 +567,12 @@
 }
 
 impl Group {
-    fn start(service: &str, max_connections: usize, work: Duration, store: &Arc<Store>) -> Arc<Self> {
+    fn start(
+        service: &str,
+        max_connections: usize,
+        work: Duration,
+        store: &Arc<Store>,
+    ) -> Arc<Self> {
         let group = Arc::new(Self {
             service: service.to_string(),
             max_connections,
@@ -559,7 +620,8 @@
         stream.set_nodelay(true).ok()?;
         let mut writer = stream.try_clone().ok()?;
         let mut reader = BufReader::with_capacity(1 << 16, stream);
-        let (mut is_open, mut is_failed, mut is_read_only, mut has_written) = (false, false, false, false);
+        let (mut is_open, mut is_failed, mut is_read_only, mut has_written) =
+            (false, false, false, false);
         // Only the kind of each prepared name is kept here, so that the stand-in stays small.
         let mut prepared = BTreeMap::<String, bool>::new();
         loop {
@@ -577,7 +639,9 @@
                     writer.write_all(b"ERROR CONNLIMIT too many\r\n").ok()?;
                     return None;
                 }
-                writer.write_all(format!("READY I {}\r\n", self.position()).as_bytes()).ok()?;
+                writer
+                    .write_all(format!("READY I {}\r\n", self.position()).as_bytes())
+                    .ok()?;
                 continue;
             }
             let query = line.strip_prefix("QUERY ")?;
@@ -593,7 +657,10 @@
                 "STATUS" | "PAUSE" | "RESUME" | "STEPDOWN" => {
                     let role = if copy == 0 { "primary" } else { "replica" };
                     let count = self.connections[copy].load(Ordering::SeqCst);
-                    format!("DATAROW {role} 1 {} 0 0 0 {count}\r\n{done}", self.position())
+                    format!(
+                        "DATAROW {role} 1 {} 0 0 0 {count}\r\n{done}",
+                        self.position()
+                    )
                 }
                 "DISCARD" => {
                     prepared.clear();
@@ -632,7 +699,10 @@
                         }
                         Some(false) => {
                             self.statements.fetch_add(1, Ordering::SeqCst);
-                            format!("DATAROW {}\r\n{signed}", self.commits.load(Ordering::SeqCst))
+                            format!(
+                                "DATAROW {}\r\n{signed}",
+                                self.commits.load(Ordering::SeqCst)
+                            )
                         }
                         Some(true) => {
                             self.statements.fetch_add(1, Ordering::SeqCst);
@@ -750,8 +820,11 @@
     /// Resident memory of the process that is the process's own, without mapped files.
     fn memory_mb(&self) -> u64 {
         let Some(child) = &self.child else { return 0 };
-        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        let status =
+            std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("RssAnon:"));
         let kilobytes = line.and_then(|line| line.trim().split(' ').next()?.parse::<u64>().ok());
         kilobytes.unwrap_or(0) / 1_024
     }
@@ -772,7 +845,10 @@
             instance.peak_mb = instance.peak_mb.max(memory);
             let child = instance.child.as_mut().expect("the instance was started");
             if let Some(status) = child.try_wait()? {
-                record.line(&format!("front-z1-{} ended by itself: {status}", instance.number));
+                record.line(&format!(
+                    "front-z1-{} ended by itself: {status}",
+                    instance.number
+                ));
                 instance.kills += 1;
                 thread::sleep(Duration::from_millis(300));
                 instance.start()?;
@@ -790,10 +866,17 @@
         }
         if logged_at.elapsed() >= Duration::from_secs(2) {
             logged_at = Instant::now();
-            let text = instances.iter().map(|i| format!("front-z1-{}={} MB", i.number, i.memory_mb()));
+            let text = instances
+                .iter()
+                .map(|i| format!("front-z1-{}={} MB", i.number, i.memory_mb()));
             record.line(&format!("memory {}", text.collect::<Vec<_>>().join(" ")));
         }
-        if instances.iter().filter(|instance| instance.kills >= 3).count() >= 2 {
+        if instances
+            .iter()
+            .filter(|instance| instance.kills >= 3)
+            .count()
+            >= 2
+        {
             break;
         }
         thread::sleep(Duration::from_millis(50));
@@ -805,7 +888,10 @@
             instance.number, instance.peak_mb, instance.kills
         ));
     }
-    Ok(instances.iter().filter(|instance| instance.kills >= 3).count())
+    Ok(instances
+        .iter()
+        .filter(|instance| instance.kills >= 3)
+        .count())
 }
 
 fn stop_all(instances: &mut [Instance]) {
@@ -845,10 +931,16 @@
         stream.set_nodelay(true).ok()?;
         stream.set_read_timeout(Some(Duration::from_secs(8))).ok()?;
         let mut writer = stream.try_clone().ok()?;
-        writer.write_all(format!("START {database} u1f1\r\n").as_bytes()).ok()?;
+        writer
+            .write_all(format!("START {database} u1f1\r\n").as_bytes())
+            .ok()?;
         let mut reader = BufReader::new(stream);
         let line = read_line(&mut reader)?;
-        line.starts_with("READY").then_some(Self { writer, reader, next_id: 0 })
+        line.starts_with("READY").then_some(Self {
+            writer,
+            reader,
+            next_id: 0,
+        })
     }
 
     /// Sends a query and returns the line with its result; `None` if the connection ended.
@@ -978,16 +1070,23 @@
     let connections = 22;
     let groups = ["ledger-a", "ledger-b", "ledger-c"]
         .map(|service| Group::start(service, connections, Duration::from_millis(8), &store));
-    let services = groups.iter().map(|group| (group.service.as_str(), connections)).collect::<Vec<_>>();
+    let services = groups
+        .iter()
+        .map(|group| (group.service.as_str(), connections))
+        .collect::<Vec<_>>();
     let databases = [
         ("base-a", "bounded_staleness", "ledger-a"),
         ("base-b", "bounded_staleness", "ledger-b"),
         ("base-c", "bounded_staleness", "ledger-c"),
     ];
     store.put("op/config", &configuration(&services, &databases));
-    let mut fronts = (1..=instances).map(|i| Instance::prepare(i, &folder, address)).collect::<Vec<_>>();
+    let mut fronts = (1..=instances)
+        .map(|i| Instance::prepare(i, &folder, address))
+        .collect::<Vec<_>>();
     for front in &mut fronts {
-        front.start().map_err(|error| format!("the program cannot be started: {error}"))?;
+        front
+            .start()
+            .map_err(|error| format!("the program cannot be started: {error}"))?;
     }
     let mut result = wait_for_start(&fronts, "base-a").map(|()| false);
     if result.is_ok() {
@@ -996,7 +1095,10 @@
             load.shape_bytes,
             load.pause.as_millis()
         ));
-        let (counts, is_over) = (Arc::new(Counts::default()), Arc::new(AtomicBool::new(false)));
+        let (counts, is_over) = (
+            Arc::new(Counts::default()),
+            Arc::new(AtomicBool::new(false)),
+        );
         let mut threads = Vec::new();
         for (i, front) in fronts.iter().map(|front| front.front).enumerate() {
             for j in 0..clients_per_instance {
@@ -1013,7 +1115,10 @@
         for thread in threads {
             let _ = thread.join();
         }
-        let ran = groups.iter().map(|group| group.statements.load(Ordering::SeqCst)).sum::<u64>();
+        let ran = groups
+            .iter()
+            .map(|group| group.statements.load(Ordering::SeqCst))
+            .sum::<u64>();
         let count = |counter: &AtomicU64| counter.load(Ordering::SeqCst);
         record.line(&format!(
             "operations: {} sent, {} served, {} refused, {} broken off; {ran} statements run by backends",
@@ -1022,7 +1127,9 @@
             count(&counts.refused),
             count(&counts.broken)
         ));
-        result = broken.map(|machines| machines >= 2).map_err(|error| error.to_string());
+        result = broken
+            .map(|machines| machines >= 2)
+            .map_err(|error| error.to_string());
     }
     stop_all(&mut fronts);
     let _ = std::fs::remove_dir_all(&folder);
